--- /dev/null
+++ b/cmd/vpd/main.go
@@ -0,0 +1,10 @@
+// Vpd runs the daemons of vanillapulley.
+package main
+
+import (
+	"os"
+
+	"github.com/vanillapulley/vanillapulley/internal/cmds"
+)
+
+func main() { os.Exit(cmds.Main(cmds.Daemon(), os.Args)) }
--- /dev/null
+++ b/internal/canary/evidence.go
@@ -0,0 +1,133 @@
+package canary
+
+import (
+	"fmt"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+)
+
+// Counts are outcomes of one version in one block of time.
+type Counts struct {
+	Calls  int
+	Errors int
+	// Latency counts the answers without error by latency class.
+	Latency [distr.LatencyBuckets]int
+}
+
+// Add merges other counts.
+func (counts *Counts) Add(other Counts) {
+	counts.Calls += other.Calls
+	counts.Errors += other.Errors
+	for i, count := range other.Latency {
+		counts.Latency[i] += count
+	}
+}
+
+// answered returns the number of answers without error.
+func (counts Counts) answered() int { return counts.Calls - counts.Errors }
+
+// slowerThan returns the number of answers above a latency class.
+func (counts Counts) slowerThan(bucket int) int {
+	slow := 0
+	for _, count := range counts.Latency[bucket+1:] {
+		slow += count
+	}
+	return slow
+}
+
+// falseAlarm is the chance that a version that is no worse than the old one
+// is ever called bad, shared evenly by errors and slow answers.
+const falseAlarm = 0.001
+
+// slowFraction is the part of the old version's answers that count as slow.
+const slowFraction = 0.05
+
+// restartBlocks is after how many blocks new bets start.
+const restartBlocks = 30
+
+// Evidence compares two versions side by side.
+type Evidence struct {
+	errors *process
+	slow   *process
+	// oldTotal holds all counts of the old version.
+	oldTotal Counts
+	blocks   int
+}
+
+// NewEvidence returns evidence without any calls.
+func NewEvidence() *Evidence {
+	return &Evidence{
+		errors: newProcess(0.01, 0.04, 0.15, 0.5, 0.9),
+		slow:   newProcess(0.08, 0.25, 0.6, 0.9),
+	}
+}
+
+// slowBound returns the highest latency class that is not slow, and false
+// while the old version has too few answers to say.
+func (evidence *Evidence) slowBound() (int, bool) {
+	total := evidence.oldTotal.answered()
+	if total < minBaseline {
+		return 0, false
+	}
+	for bucket := range distr.LatencyBuckets - 1 {
+		if float64(evidence.oldTotal.slowerThan(bucket)) <= slowFraction*float64(total) {
+			return bucket, true
+		}
+	}
+	return 0, false
+}
+
+// minBaseline is how many answers of the old version the slow bound needs.
+const minBaseline = 40
+
+// Add takes one block. Without calls of the old version the new one is
+// compared with what the old one did before. The latency of a cold version
+// does not count.
+func (evidence *Evidence) Add(before, after Counts, cold bool) {
+	evidence.blocks++
+	if evidence.blocks%restartBlocks == 0 {
+		evidence.Restart()
+	}
+	alone := before.Calls == 0
+	if alone {
+		evidence.errors.addAlone(after.Errors, after.Calls)
+	} else {
+		evidence.errors.add(sample{before.Calls, before.Errors, after.Calls, after.Errors})
+	}
+	if bound, ok := evidence.slowBound(); ok {
+		evidence.addSlow(before, after, bound, alone, cold)
+	}
+	evidence.oldTotal.Add(before)
+}
+
+func (evidence *Evidence) addSlow(before, after Counts, bound int, alone, cold bool) {
+	switch {
+	case cold:
+		evidence.slow.learn(before.slowerThan(bound), before.answered())
+	case alone:
+		evidence.slow.addAlone(after.slowerThan(bound), after.answered())
+	default:
+		evidence.slow.add(sample{before.answered(), before.slowerThan(bound), after.answered(), after.slowerThan(bound)})
+	}
+}
+
+// Restart adds bets that know nothing of the past, as after each step.
+func (evidence *Evidence) Restart() {
+	evidence.errors.restart()
+	evidence.slow.restart()
+}
+
+// Bad reports whether the new version is worse, and how.
+func (evidence *Evidence) Bad() (string, bool) {
+	threshold := 2 / falseAlarm
+	if capital := evidence.errors.capital(); capital >= threshold {
+		return fmt.Sprintf("more errors than the old version (evidence %.0f to 1)", min(capital, 1e9)), true
+	}
+	if capital := evidence.slow.capital(); capital >= threshold {
+		return fmt.Sprintf("slower than the old version (evidence %.0f to 1)", min(capital, 1e9)), true
+	}
+	return "", false
+}
+
+// ErrorRate returns the old version's estimated error rate.
+func (evidence *Evidence) ErrorRate() float64 { return evidence.errors.baseline() }
--- /dev/null
+++ b/internal/cmds/vpd.go
@@ -0,0 +1,157 @@
+// Package cmds holds the commands of both programs, wired once.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/urfave/cli/v2"
+	"golang.org/x/sys/unix"
+
+	"github.com/vanillapulley/vanillapulley/internal/config"
+	"github.com/vanillapulley/vanillapulley/internal/ctrl"
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/node"
+	"github.com/vanillapulley/vanillapulley/internal/sample"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// Daemon returns the command line of vpd.
+func Daemon() *cli.App {
+	return &cli.App{
+		Name:            "vpd",
+		Usage:           "the daemons of vanillapulley",
+		Version:         Version,
+		HideHelpCommand: true,
+		Commands:        []*cli.Command{controlCommand(), nodeCommand(), upstreamCommand(), demoCommand()},
+		ExitErrHandler:  func(*cli.Context, error) {},
+	}
+}
+
+// Main runs a program and returns its exit code.
+func Main(app *cli.App, args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, unix.SIGTERM)
+	defer stop()
+	err := app.RunContext(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(app.ErrWriter, "%s: %s\n", app.Name, message(err))
+	return exitCode(err)
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "the JSON settings `FILE`"}
+}
+
+func controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "run the daemon of a control VM",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.BoolFlag{Name: "init", Usage: "make a new control plane in an empty data folder; only on the first control VM, once"},
+		},
+		Action: func(c *cli.Context) error {
+			settings, err := config.ReadControl(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if c.Bool("init") {
+				if err := ctrl.Init(settings); err != nil {
+					return named(err, c.String("settings"), "data")
+				}
+			}
+			control, err := ctrl.New(ctrl.Deps{
+				Settings: settings,
+				Logs:     logs.New(c.App.ErrWriter, settings.Log),
+				Stats:    stats.New(),
+				Now:      time.Now,
+				Random:   newRandom(),
+			})
+			if err != nil {
+				return err
+			}
+			return named(control.Run(c.Context), c.String("settings"), "")
+		},
+	}
+}
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node beside an upstream",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(c *cli.Context) error {
+			settings, err := config.ReadNode(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			running, err := node.New(node.Deps{
+				Settings: settings,
+				Logs:     logs.New(c.App.ErrWriter, settings.Log),
+				Stats:    stats.New(),
+				Now:      time.Now,
+				Random:   newRandom(),
+			})
+			if err != nil {
+				return err
+			}
+			return named(running.Run(c.Context), c.String("settings"), "")
+		},
+	}
+}
+
+// named adds file and key to an error about a setting.
+func named(err error, file, key string) error {
+	var setting *config.Error
+	if errors.As(err, &setting) {
+		setting.File = file
+		return err
+	}
+	if err != nil && key != "" {
+		return &config.Error{File: file, Key: key, Reason: message(err)}
+	}
+	return err
+}
+
+func upstreamCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "upstream",
+		Usage: "run a small upstream for trials",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Required: true, Usage: "the service it belongs to"},
+			&cli.StringFlag{Name: "version", Required: true, Usage: "the upstream version it runs"},
+			&cli.StringFlag{Name: "admin", Required: true, Usage: "the admin `ADDRESS` of the node beside it"},
+			&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "the `ADDRESS` to listen on"},
+			&cli.IntFlag{Name: "slots", Value: 12, Usage: "how many calls it runs at once"},
+			&cli.IntFlag{Name: "fail", Usage: "how many of a thousand calls fail"},
+			&cli.DurationFlag{Name: "delay", Usage: "how long each call takes"},
+			&cli.DurationFlag{Name: "ttl", Value: 3 * time.Second, Usage: "how long an announcement holds"},
+		},
+		Action: func(c *cli.Context) error {
+			return sample.New(sample.Settings{
+				Service:      c.String("service"),
+				Version:      c.String("version"),
+				Address:      c.String("address"),
+				Admin:        c.String("admin"),
+				Slots:        c.Int("slots"),
+				FailPermille: c.Int("fail"),
+				Delay:        c.Duration("delay"),
+				TTL:          c.Duration("ttl"),
+				Now:          time.Now,
+				Random:       newRandom(),
+			}).Run(c.Context)
+		},
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,267 @@
+// Package config reads the settings of a process from one JSON file and
+// checks them. Every fault names the key it is about.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+)
+
+// Error reports a setting that cannot be used.
+type Error struct {
+	File   string
+	Key    string
+	Reason string
+}
+
+// Error names file and key.
+func (err *Error) Error() string {
+	if err.Key == "" {
+		return fmt.Sprintf("settings %s: %s", err.File, err.Reason)
+	}
+	return fmt.Sprintf("settings %s: %s: %s", err.File, err.Key, err.Reason)
+}
+
+// Duration is written as a Go duration such as "250ms" or "10m".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (duration *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("%s is not a duration: write a string with a unit, such as \"250ms\" or \"10m\"", data)
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration: write a number with a unit, such as \"250ms\" or \"10m\"", text)
+	}
+	*duration = Duration(value)
+	return nil
+}
+
+// Rollout holds the durations of rollouts; zero means the default.
+type Rollout struct {
+	Dwell Duration `json:"dwell"`
+	Watch Duration `json:"watch"`
+	Cold  Duration `json:"cold"`
+}
+
+// Control holds the settings of a control VM's daemon.
+type Control struct {
+	// Name and Zone are this VM's own; Name is unique in the fleet.
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Data is the data folder, relative to the settings file.
+	Data string `json:"data"`
+	// API is where operators connect, Link where nodes and other control VMs do.
+	API  string `json:"api"`
+	Link string `json:"link"`
+	// Peers lists the link addresses of the other control VMs.
+	Peers []string `json:"peers"`
+	// Replicas is the number of voters to aim for: 1, 3 or 5.
+	Replicas int `json:"replicas"`
+	// MaxChildren bounds the nodes that connect here directly.
+	MaxChildren int `json:"maxChildren"`
+	// SnapshotEvery is how many log entries lie between two snapshots.
+	SnapshotEvery int         `json:"snapshotEvery"`
+	Rollout       Rollout     `json:"rollout"`
+	Log           logs.Levels `json:"log"`
+}
+
+// Node holds the settings of a node's daemon.
+type Node struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Callers is where calls come in, Gate where other nodes connect for
+	// calls, Link where they connect for control, Admin where the own upstream
+	// announces itself and metrics are read.
+	Callers string `json:"callers"`
+	Gate    string `json:"gate"`
+	Link    string `json:"link"`
+	Admin   string `json:"admin"`
+	// Control lists the link addresses of the control VMs.
+	Control []string `json:"control"`
+	// Seeds lists link addresses of some other nodes, for a start while no
+	// control VM answers.
+	Seeds       []string `json:"seeds"`
+	MaxChildren int      `json:"maxChildren"`
+	// Queue is how many calls may wait for the upstream.
+	Queue int `json:"queue"`
+	// Grace is how long a planned stop waits for calls in progress.
+	Grace Duration    `json:"grace"`
+	Log   logs.Levels `json:"log"`
+}
+
+// Defaults of settings that may be left out.
+const (
+	DefaultMaxChildren   = 8
+	DefaultSnapshotEvery = 1000
+	DefaultQueue         = 64
+	DefaultGrace         = 30 * time.Second
+)
+
+// ReadControl reads and checks the settings of a control VM.
+func ReadControl(file string) (Control, error) {
+	control := Control{Replicas: 1, MaxChildren: DefaultMaxChildren, SnapshotEvery: DefaultSnapshotEvery}
+	if err := read(file, &control); err != nil {
+		return control, err
+	}
+	if control.Data != "" && !filepath.IsAbs(control.Data) {
+		control.Data = filepath.Join(filepath.Dir(file), control.Data)
+	}
+	return control, control.check(file)
+}
+
+func (control Control) check(file string) error {
+	checker := checker{file: file}
+	checker.name("name", control.Name)
+	checker.name("zone", control.Zone)
+	checker.require(control.Data != "", "data", "is missing: name the data folder")
+	checker.address("api", control.API)
+	checker.address("link", control.Link)
+	checker.addresses("peers", control.Peers)
+	checker.require(control.Replicas == 1 || control.Replicas == 3 || control.Replicas == 5, "replicas", "must be 1, 3 or 5")
+	checker.require(control.Replicas == 1 || len(control.Peers) > 0, "peers", "is missing: replicas above 1 need the other control VMs' link addresses")
+	checker.require(control.MaxChildren > 0, "maxChildren", "must be positive")
+	checker.require(control.SnapshotEvery > 0, "snapshotEvery", "must be positive")
+	checker.positive("rollout.dwell", control.Rollout.Dwell)
+	checker.positive("rollout.watch", control.Rollout.Watch)
+	checker.positive("rollout.cold", control.Rollout.Cold)
+	checker.levels(control.Log)
+	return checker.err
+}
+
+// ReadNode reads and checks the settings of a node.
+func ReadNode(file string) (Node, error) {
+	node := Node{MaxChildren: DefaultMaxChildren, Queue: DefaultQueue, Grace: Duration(DefaultGrace)}
+	if err := read(file, &node); err != nil {
+		return node, err
+	}
+	return node, node.check(file)
+}
+
+func (node Node) check(file string) error {
+	checker := checker{file: file}
+	checker.name("name", node.Name)
+	checker.name("zone", node.Zone)
+	checker.address("callers", node.Callers)
+	checker.address("gate", node.Gate)
+	checker.address("link", node.Link)
+	checker.address("admin", node.Admin)
+	checker.require(len(node.Control) > 0, "control", "is missing: list the control VMs' link addresses")
+	checker.addresses("control", node.Control)
+	checker.addresses("seeds", node.Seeds)
+	checker.require(node.MaxChildren >= 0, "maxChildren", "must not be negative")
+	checker.require(node.Queue >= 0, "queue", "must not be negative")
+	checker.positive("grace", node.Grace)
+	checker.levels(node.Log)
+	return checker.err
+}
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
+
+func read(file string, target any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := wire.Strict(data, target); err != nil {
+		return decodeError(file, data, err)
+	}
+	return nil
+}
+
+// decodeError names the key of a JSON fault where the decoder tells it.
+func decodeError(file string, data []byte, err error) error {
+	if match := unknownField.FindStringSubmatch(err.Error()); match != nil {
+		return &Error{File: file, Key: match[1], Reason: "is not a setting"}
+	}
+	switch fault := err.(type) {
+	case *json.UnmarshalTypeError:
+		return &Error{File: file, Key: fault.Field, Reason: fmt.Sprintf("must be of type %s, is %s", fault.Type, fault.Value)}
+	case *json.SyntaxError:
+		line := 1 + strings.Count(string(data[:min(int(fault.Offset), len(data))]), "\n")
+		return &Error{File: file, Reason: fmt.Sprintf("line %d: %s", line, fault.Error())}
+	default:
+		return &Error{File: file, Key: durationKey(data), Reason: err.Error()}
+	}
+}
+
+// durationKeys are the settings of type Duration.
+var durationKeys = []string{"grace", "dwell", "watch", "cold"}
+
+// durationKey finds which duration does not read, since the decoder does not
+// say.
+func durationKey(data []byte) string {
+	var found string
+	var walk func(prefix string, value map[string]json.RawMessage)
+	walk = func(prefix string, value map[string]json.RawMessage) {
+		for key, raw := range value {
+			var inner map[string]json.RawMessage
+			if json.Unmarshal(raw, &inner) == nil && key != "log" {
+				walk(prefix+key+".", inner)
+				continue
+			}
+			var duration Duration
+			if strings.Contains(strings.Join(durationKeys, " "), key) && duration.UnmarshalJSON(raw) != nil {
+				found = prefix + key
+			}
+		}
+	}
+	var top map[string]json.RawMessage
+	if json.Unmarshal(data, &top) == nil {
+		walk("", top)
+	}
+	return found
+}
+
+// checker keeps the first fault.
+type checker struct {
+	file string
+	err  error
+}
+
+func (checker *checker) require(ok bool, key, reason string) {
+	if !ok && checker.err == nil {
+		checker.err = &Error{File: checker.file, Key: key, Reason: reason}
+	}
+}
+
+func (checker *checker) name(key, value string) {
+	checker.require(value != "", key, "is missing")
+	checker.require(!strings.ContainsAny(value, " /|\n\t*"), key, fmt.Sprintf("%q must not contain spaces, slashes, bars or stars", value))
+}
+
+func (checker *checker) address(key, value string) {
+	checker.require(value != "", key, "is missing: write an address such as \"10.0.0.5:7400\"")
+	host, port, err := net.SplitHostPort(value)
+	checker.require(err == nil && port != "", key, fmt.Sprintf("%q is not an address of the form IP:port", value))
+	checker.require(err != nil || net.ParseIP(host) != nil, key, fmt.Sprintf("%q does not name an IP address", value))
+}
+
+func (checker *checker) addresses(key string, values []string) {
+	for i, value := range values {
+		checker.address(fmt.Sprintf("%s[%d]", key, i), value)
+	}
+}
+
+func (checker *checker) positive(key string, value Duration) {
+	checker.require(value >= 0, key, "must not be negative")
+}
+
+func (checker *checker) levels(levels logs.Levels) {
+	if err := levels.Check(); err != nil {
+		checker.require(false, "log", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/disk/disk.go
@@ -0,0 +1,316 @@
+package disk
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+
+	"github.com/vanillapulley/vanillapulley/internal/raft"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+)
+
+// The files of a data folder.
+const (
+	identityFile = "identity.json"
+	logFile      = "log"
+	snapshotFile = "snapshot"
+	lockFile     = "lock"
+)
+
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
+
+// Identity tells whose disk this is. It is made with the data folder and
+// never changes.
+type Identity struct {
+	// ID is unique for each data folder ever made.
+	ID   string
+	Name string
+}
+
+type identityRecord struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+}
+
+// Disk is an open data folder. One process has it at a time. It is not safe
+// for concurrent use.
+type Disk struct {
+	folder   string
+	identity Identity
+	lock     *os.File
+	log      *os.File
+	// size is the length of the log's whole records.
+	size int64
+	// torn is how many bytes were cut from the log's tail when it was opened.
+	torn int64
+}
+
+// Exists reports whether a folder holds a replica's identity.
+func Exists(folder string) bool {
+	_, err := os.Stat(filepath.Join(folder, identityFile))
+	return err == nil
+}
+
+// Create makes a data folder with a fresh identity and the given first state.
+func Create(folder, name string, first raft.Durable) error {
+	if Exists(folder) {
+		return trace.AlreadyExists("%s holds a replica already", folder)
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	records := encodeRecords(&first.HardState, first.Entries)
+	if err := writeSynced(folder, logFile, records); err != nil {
+		return err
+	}
+	id := name
+	for _, entry := range first.Entries {
+		for _, member := range entry.Members {
+			id = member.ID
+		}
+	}
+	if len(first.Entries) == 0 {
+		id = NewID(name)
+	}
+	// The identity comes last: without it the folder counts as empty.
+	return writeSynced(folder, identityFile, wire.Must(identityRecord{ID: id, Name: name}))
+}
+
+// NewID returns a replica id that was never used before.
+func NewID(name string) string { return name + "-" + uuid.NewString()[:8] }
+
+// Open locks a data folder, cuts a torn tail from its log and returns what it
+// holds.
+func Open(folder string) (*Disk, raft.Durable, error) {
+	disk := &Disk{folder: folder}
+	if err := disk.acquire(); err != nil {
+		return nil, raft.Durable{}, err
+	}
+	durable, err := disk.load()
+	if err != nil {
+		return nil, raft.Durable{}, errors.Join(err, disk.Close())
+	}
+	return disk, durable, nil
+}
+
+// Identity returns whose disk this is.
+func (disk *Disk) Identity() Identity { return disk.identity }
+
+// Torn returns how many bytes of an unfinished write were cut at opening.
+func (disk *Disk) Torn() int64 { return disk.torn }
+
+// Size returns the log's length in bytes.
+func (disk *Disk) Size() int64 { return disk.size }
+
+func (disk *Disk) path(name string) string { return filepath.Join(disk.folder, name) }
+
+func (disk *Disk) acquire() error {
+	file, err := os.OpenFile(disk.path(lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return errors.Join(trace.AlreadyExists("the data folder %s is in use by another process", disk.folder), file.Close())
+	}
+	disk.lock = file
+	return nil
+}
+
+func (disk *Disk) load() (raft.Durable, error) {
+	var durable raft.Durable
+	if err := disk.loadIdentity(); err != nil {
+		return durable, err
+	}
+	snapshot, err := disk.loadSnapshot()
+	if err != nil {
+		return durable, err
+	}
+	durable.Snapshot = snapshot
+	data, err := os.ReadFile(disk.path(logFile))
+	if err != nil {
+		return durable, trace.ConvertSystemError(err)
+	}
+	disk.size, err = scanRecords(disk.path(logFile), data, func(payload []byte) error {
+		return replay(&durable, payload)
+	})
+	if err != nil {
+		return durable, err
+	}
+	disk.torn = int64(len(data)) - disk.size
+	return durable, disk.openLog()
+}
+
+func (disk *Disk) loadIdentity() error {
+	data, err := os.ReadFile(disk.path(identityFile))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	var record identityRecord
+	if err := json.Unmarshal(data, &record); err != nil || record.ID == "" {
+		return &CorruptError{File: disk.path(identityFile), Reason: "no identity"}
+	}
+	disk.identity = Identity(record)
+	return nil
+}
+
+func (disk *Disk) loadSnapshot() (*raft.Snapshot, error) {
+	data, err := os.ReadFile(disk.path(snapshotFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	payload, size, ok := nextRecord(data)
+	if !ok || size != len(data) {
+		return nil, &CorruptError{File: disk.path(snapshotFile), Reason: "checksum"}
+	}
+	var written wire.Snapshot
+	if err := json.Unmarshal(payload, &written); err != nil {
+		return nil, &CorruptError{File: disk.path(snapshotFile), Reason: err.Error()}
+	}
+	snapshot := written.Domain()
+	return &snapshot, nil
+}
+
+// replay adds one log record to what was found so far. An entry replaces the
+// tail from its index on.
+func replay(durable *raft.Durable, payload []byte) error {
+	var record wire.LogRecord
+	if err := json.Unmarshal(payload, &record); err != nil {
+		return err
+	}
+	if record.Hard != nil {
+		durable.HardState = raft.HardState(*record.Hard)
+	}
+	if record.Entry == nil {
+		return nil
+	}
+	entry := record.Entry.Domain()
+	keep := len(durable.Entries)
+	for keep > 0 && durable.Entries[keep-1].Index >= entry.Index {
+		keep--
+	}
+	durable.Entries = durable.Entries[:keep]
+	if durable.Snapshot != nil && entry.Index <= durable.Snapshot.Index+1 {
+		// What comes before is covered by the snapshot and may have a gap.
+		durable.Entries, keep = nil, 0
+	}
+	if keep > 0 && durable.Entries[keep-1].Index != entry.Index-1 {
+		return fmt.Errorf("entry %d follows entry %d", entry.Index, durable.Entries[keep-1].Index)
+	}
+	durable.Entries = append(durable.Entries, entry)
+	return nil
+}
+
+// openLog opens the log for appending and cuts the torn tail.
+func (disk *Disk) openLog() error {
+	file, err := os.OpenFile(disk.path(logFile), os.O_RDWR, fileMode)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	disk.log = file
+	if err := file.Truncate(disk.size); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if _, err := file.Seek(disk.size, 0); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(file.Sync())
+}
+
+func encodeRecords(hard *raft.HardState, entries []raft.Entry) []byte {
+	var buffer []byte
+	if hard != nil {
+		written := wire.HardState(*hard)
+		buffer = appendRecord(buffer, wire.Must(wire.LogRecord{Hard: &written}))
+	}
+	for _, entry := range entries {
+		written := wire.FromEntry(entry)
+		buffer = appendRecord(buffer, wire.Must(wire.LogRecord{Entry: &written}))
+	}
+	return buffer
+}
+
+// Append writes a vote and entries with one write and one sync. After an
+// error the log's state is unknown and the process must stop.
+func (disk *Disk) Append(hard *raft.HardState, entries []raft.Entry) error {
+	buffer := encodeRecords(hard, entries)
+	if len(buffer) == 0 {
+		return nil
+	}
+	if _, err := disk.log.Write(buffer); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := unix.Fdatasync(int(disk.log.Fd())); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	disk.size += int64(len(buffer))
+	return nil
+}
+
+// SaveSnapshot writes a snapshot beside the old one, puts it in its place, and
+// then replaces the log by the vote and the entries after the snapshot.
+func (disk *Disk) SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, rest []raft.Entry) error {
+	payload := wire.Must(wire.FromSnapshot(snapshot))
+	if err := writeSynced(disk.folder, snapshotFile, appendRecord(nil, payload)); err != nil {
+		return err
+	}
+	records := encodeRecords(&hard, rest)
+	if err := writeSynced(disk.folder, logFile, records); err != nil {
+		return err
+	}
+	if err := disk.log.Close(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	disk.size = int64(len(records))
+	return disk.openLog()
+}
+
+// Close lets go of the folder.
+func (disk *Disk) Close() error {
+	var errs []error
+	if disk.log != nil {
+		errs = append(errs, disk.log.Close())
+	}
+	return errors.Join(append(errs, disk.lock.Close())...)
+}
+
+// writeSynced replaces a file so that after a crash either the old or the new
+// contents are there whole.
+func writeSynced(folder, name string, data []byte) error {
+	temporary := filepath.Join(folder, name+".new")
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := os.Rename(temporary, filepath.Join(folder, name)); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return syncFolder(folder)
+}
+
+func syncFolder(folder string) error {
+	file, err := os.Open(folder)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(errors.Join(file.Sync(), file.Close()))
+}
--- /dev/null
+++ b/internal/distr/core.go
@@ -0,0 +1,386 @@
+package distr
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// link is the state of one connection.
+type link struct {
+	id   LinkID
+	name string
+	zone string
+	// address is where the other end takes connections.
+	address string
+	role    Role
+	// dialled is true when this side opened the connection.
+	dialled bool
+	// version is the configuration the other end is known to run or to have
+	// been sent.
+	version uint64
+	// report is the last one from a child, if it has reported.
+	report   Report
+	reported bool
+	// news holds records that wait to be sent, by name.
+	news map[string]member.Record
+}
+
+// floorAnswer is what one peer said of its version.
+type floorAnswer struct {
+	zone    string
+	version uint64
+}
+
+// Core decides for one node. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	random   *rand.Rand
+	table    *member.Table
+
+	// config is in force; its version never falls and is never below floor.
+	config *rsrc.Config
+	// floor is the minimum version that may be applied; it counts only while
+	// floorKnown.
+	floor      uint64
+	floorKnown bool
+	answers    map[string]floorAnswer
+	// deltas caches the changes from older versions to the present one.
+	deltas map[uint64]*rsrc.Delta
+
+	links  map[LinkID]*link
+	parent *link
+	// path lists the ancestors, nearest first; it is empty without a parent.
+	path  []string
+	finds finder
+
+	observations map[observationKey]*Observation
+	lastReport   Report
+	reportAt     time.Time
+	compareAt    time.Time
+	flushAt      time.Time
+
+	joinTokens float64
+	joinsAt    time.Time
+
+	actions []Action
+}
+
+// New returns the core of a node that knows nothing yet.
+func New(settings Settings, random *rand.Rand, now time.Time) *Core {
+	core := &Core{
+		settings:     settings,
+		random:       random,
+		table:        member.NewTable(settings.Name, settings.Members),
+		config:       rsrc.EmptyConfig(),
+		floorKnown:   settings.Root,
+		answers:      map[string]floorAnswer{},
+		deltas:       map[uint64]*rsrc.Delta{},
+		links:        map[LinkID]*link{},
+		observations: map[observationKey]*Observation{},
+		joinTokens:   float64(settings.JoinsPerSecond),
+		joinsAt:      now,
+		compareAt:    now.Add(time.Duration(random.Int64N(int64(settings.Timing.Compare)))),
+	}
+	core.finds = newFinder(now)
+	return core
+}
+
+// Config returns the configuration in force.
+func (core *Core) Config() *rsrc.Config { return core.config }
+
+// Ready reports whether a configuration at or above the floor is in force.
+func (core *Core) Ready() bool { return core.floorKnown && core.config.Version() > 0 }
+
+// Table returns the membership the node knows.
+func (core *Core) Table() *member.Table { return core.table }
+
+// Parent returns the parent's name, or an empty string.
+func (core *Core) Parent() string {
+	if core.parent == nil {
+		return ""
+	}
+	return core.parent.name
+}
+
+// Children returns the number of children.
+func (core *Core) Children() int { return len(core.withRole(RoleChild)) }
+
+// Path returns the ancestors, nearest first.
+func (core *Core) Path() []string { return core.path }
+
+// Take returns the actions collected since the last call.
+func (core *Core) Take() []Action {
+	actions := core.actions
+	core.actions = nil
+	return actions
+}
+
+func (core *Core) act(action Action) { core.actions = append(core.actions, action) }
+
+func (core *Core) send(to *link, message Message) {
+	core.act(Action{ID: to.id, Send: &message})
+}
+
+// drop ends a connection on purpose.
+func (core *Core) drop(to *link) {
+	if to.role != RoleUnknown {
+		core.send(to, Message{Bye: true})
+	}
+	core.act(Action{ID: to.id, Close: true})
+	core.forget(to)
+}
+
+// forget takes a connection out of all tables.
+func (core *Core) forget(gone *link) {
+	delete(core.links, gone.id)
+	core.finds.ended(gone.id)
+	if core.parent == gone {
+		core.parent = nil
+		core.setPath(nil)
+	}
+}
+
+// sorted returns the connections in a fixed order, so that runs repeat.
+func (core *Core) sorted() []*link {
+	ids := slices.Sorted(maps.Keys(core.links))
+	links := make([]*link, 0, len(ids))
+	for _, id := range ids {
+		links = append(links, core.links[id])
+	}
+	return links
+}
+
+func (core *Core) withRole(role Role) []*link {
+	return slices.DeleteFunc(core.sorted(), func(link *link) bool { return link.role != role })
+}
+
+// Tick lets time pass. Call it at least every Coalesce.
+func (core *Core) Tick(now time.Time) {
+	core.spread(core.table.Tick(now), nil)
+	core.findParent(now)
+	core.keepLaterals(now)
+	if !now.Before(core.compareAt) {
+		core.compareAt = now.Add(core.settings.Timing.Compare)
+		core.compare()
+	}
+	if !now.Before(core.flushAt) {
+		core.flushAt = now.Add(core.settings.Timing.Coalesce)
+		core.flushNews()
+		core.reportUp(now)
+	}
+}
+
+// Accepted tells of a connection that the other side opened.
+func (core *Core) Accepted(id LinkID) {
+	core.links[id] = &link{id: id, news: map[string]member.Record{}}
+}
+
+// LinkDown tells that a connection was lost. The other end is suspected if it
+// had a role and did not say bye.
+func (core *Core) LinkDown(now time.Time, id LinkID) {
+	lost, ok := core.links[id]
+	if !ok {
+		return
+	}
+	if core.parent == lost {
+		core.finds.restart(now, core.jitter(core.settings.Timing.Retry))
+	}
+	core.forget(lost)
+	if lost.role == RoleUnknown || core.connected(lost.name) {
+		return
+	}
+	if record, ok := core.table.Suspect(now, lost.name); ok {
+		core.spread([]member.Record{record}, nil)
+	}
+}
+
+func (core *Core) connected(name string) bool {
+	return slices.ContainsFunc(core.sorted(), func(link *link) bool { return link.name == name })
+}
+
+// jitter returns a random duration around the mean.
+func (core *Core) jitter(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(core.random.Int64N(int64(mean)+1))
+}
+
+// Receive takes a message from a connection.
+func (core *Core) Receive(now time.Time, id LinkID, message Message) {
+	from, ok := core.links[id]
+	if !ok {
+		return
+	}
+	switch {
+	case message.Hello != nil:
+		core.receiveHello(now, from, *message.Hello)
+	case message.Welcome != nil:
+		core.receiveWelcome(now, from, *message.Welcome)
+	case message.Update != nil:
+		core.receiveUpdate(from, *message.Update)
+	case message.Pull != nil:
+		from.version = message.Pull.Version
+		core.update(from)
+	case message.Report != nil:
+		core.receiveReport(from, *message.Report)
+	case message.Records != nil:
+		core.receiveRecords(now, from, message.Records)
+	case message.Digest != nil:
+		core.receiveDigest(from, *message.Digest)
+	case message.Path != nil:
+		core.receivePath(now, from, message.Path)
+	case message.Bye:
+		core.receiveBye(now, from)
+	}
+}
+
+func (core *Core) receiveBye(now time.Time, from *link) {
+	if core.parent == from {
+		core.finds.restart(now, core.jitter(core.settings.Timing.Retry))
+	}
+	core.act(Action{ID: from.id, Close: true})
+	core.forget(from)
+}
+
+// Publish gives a root the configuration that the log has come to.
+func (core *Core) Publish(config *rsrc.Config) {
+	if config.Version() > core.config.Version() {
+		core.swap(config)
+	}
+}
+
+// swap puts a higher configuration in force and passes it on.
+func (core *Core) swap(config *rsrc.Config) {
+	core.config = config
+	clear(core.deltas)
+	core.act(Action{Config: config})
+	for _, child := range core.withRole(RoleChild) {
+		core.update(child)
+	}
+}
+
+// update sends the other end what it lacks.
+func (core *Core) update(to *link) {
+	if !core.Ready() || to.version >= core.config.Version() {
+		return
+	}
+	delta, ok := core.deltas[to.version]
+	if !ok {
+		made := core.config.DeltaSince(to.version)
+		delta = &made
+		core.deltas[to.version] = delta
+	}
+	to.version = core.config.Version()
+	core.send(to, Message{Update: delta})
+}
+
+func (core *Core) receiveUpdate(from *link, delta rsrc.Delta) {
+	from.version = max(from.version, delta.To)
+	if delta.To <= core.config.Version() || core.settings.Root {
+		return
+	}
+	if !core.floorKnown || delta.To < core.floor {
+		return
+	}
+	config, err := core.config.Merge(delta)
+	if err == nil {
+		core.swap(config)
+		return
+	}
+	if delta.From > 0 {
+		// The delta does not fit what is here: ask for a full copy.
+		core.send(from, Message{Pull: &Pull{}})
+		return
+	}
+	core.act(Action{Refused: err})
+}
+
+// Announce writes the node's own record and spreads it.
+func (core *Core) Announce(now time.Time, record member.Record) {
+	record.Zone, record.Link = core.settings.Zone, core.settings.Link
+	core.spread([]member.Record{core.table.Announce(now, record)}, nil)
+}
+
+// Leave spreads the own record at once, before the process ends.
+func (core *Core) Leave(now time.Time, record member.Record) {
+	core.Announce(now, record)
+	core.flushNews()
+}
+
+func (core *Core) spread(records []member.Record, except *link) {
+	for _, link := range core.links {
+		if link == except || link.role == RoleUnknown {
+			continue
+		}
+		for _, record := range records {
+			link.news[record.Name] = record
+		}
+	}
+}
+
+func (core *Core) flushNews() {
+	for _, link := range core.sorted() {
+		if len(link.news) == 0 || link.role == RoleUnknown {
+			continue
+		}
+		records := make([]member.Record, 0, len(link.news))
+		for _, name := range slices.Sorted(maps.Keys(link.news)) {
+			records = append(records, link.news[name])
+		}
+		clear(link.news)
+		core.send(link, Message{Records: records})
+	}
+}
+
+func (core *Core) receiveRecords(now time.Time, from *link, records []member.Record) {
+	for _, record := range records {
+		news, ok := core.table.Merge(now, record)
+		if !ok {
+			continue
+		}
+		except := from
+		if record.Name == core.settings.Name {
+			// A refutation goes back to where the suspicion came from, too.
+			except = nil
+		}
+		core.spread([]member.Record{news}, except)
+	}
+}
+
+// compare sends digests over lateral connections and to the parent.
+func (core *Core) compare() {
+	for _, link := range core.sorted() {
+		if link.role == RoleLateral && link.dialled || link.role == RoleParent {
+			core.sendDigest(link)
+		}
+	}
+}
+
+func (core *Core) sendDigest(to *link) {
+	core.send(to, Message{Digest: &Digest{Version: core.config.Version(), Members: core.table.Digest()}})
+}
+
+// receiveDigest sends what the other end lacks, and the own digest back if
+// the other end seems to know more.
+func (core *Core) receiveDigest(from *link, digest Digest) {
+	from.version = digest.Version
+	if from.role == RoleLateral || from.role == RoleChild {
+		core.update(from)
+	}
+	if digest.Version > core.config.Version() && core.floorKnown && !core.settings.Root {
+		core.send(from, Message{Pull: &Pull{Version: core.config.Version()}})
+	}
+	if digest.Members == core.table.Digest() {
+		return
+	}
+	if records := core.table.InBuckets(digest.Members); len(records) > 0 {
+		core.send(from, Message{Records: records})
+	}
+	if from.dialled {
+		return
+	}
+	core.sendDigest(from)
+}
--- /dev/null
+++ b/internal/distr/join.go
@@ -0,0 +1,413 @@
+package distr
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/member"
+)
+
+// maxRedirects bounds the list of other parents in a refusal.
+const maxRedirects = 4
+
+// joinRetryAfter is how long a root without a token for a joiner sends it away.
+const joinRetryAfter = 500 * time.Millisecond
+
+// finder is the search for a parent and for lateral peers.
+type finder struct {
+	// dialling maps an address to the role wanted of it.
+	dialling map[string]Role
+	// trying is the connection that was asked to be the parent, if any.
+	trying LinkID
+	// candidates are to be tried before asking a control VM again.
+	candidates []Address
+	failures   int
+	nextTry    time.Time
+	nextPeer   time.Time
+}
+
+func newFinder(now time.Time) finder {
+	return finder{dialling: map[string]Role{}, nextTry: now, nextPeer: now}
+}
+
+func (finder *finder) restart(now time.Time, pause time.Duration) {
+	finder.candidates = nil
+	finder.trying = 0
+	finder.nextTry = now.Add(pause)
+}
+
+func (finder *finder) ended(id LinkID) {
+	if finder.trying == id {
+		finder.trying = 0
+	}
+}
+
+func (finder *finder) wantsParent() bool {
+	if finder.trying != 0 {
+		return true
+	}
+	for _, role := range finder.dialling {
+		if role == RoleParent {
+			return true
+		}
+	}
+	return false
+}
+
+// SetParents replaces the addresses of the control VMs; a root's own parent
+// is the present leader, or none on the leader itself.
+func (core *Core) SetParents(now time.Time, parents []string) {
+	if slices.Equal(parents, core.settings.Parents) {
+		return
+	}
+	core.settings.Parents = parents
+	if core.parent != nil {
+		core.drop(core.parent)
+	}
+	core.finds.restart(now, 0)
+}
+
+// findParent starts the next try to find a parent when it is due.
+func (core *Core) findParent(now time.Time) {
+	leading := core.settings.Root && len(core.settings.Parents) == 0
+	if core.parent != nil || leading || core.finds.wantsParent() || now.Before(core.finds.nextTry) {
+		return
+	}
+	address, ok := core.nextCandidate()
+	core.finds.nextTry = now.Add(core.backoff())
+	if !ok || core.finds.dialling[address] != RoleUnknown {
+		return
+	}
+	core.finds.dialling[address] = RoleParent
+	core.act(Action{Dial: address})
+}
+
+func (core *Core) backoff() time.Duration {
+	mean := core.settings.Timing.Retry << min(core.finds.failures, 6)
+	return core.jitter(min(mean, core.settings.Timing.RetryMax))
+}
+
+// nextCandidate returns an address to ask: a redirect first, then a control
+// VM, and every other time without success a peer.
+func (core *Core) nextCandidate() (string, bool) {
+	if len(core.finds.candidates) > 0 {
+		candidate := core.finds.candidates[0]
+		core.finds.candidates = core.finds.candidates[1:]
+		return candidate.Link, true
+	}
+	core.finds.failures++
+	peers := core.peerAddresses()
+	usePeer := core.finds.failures > 2 && core.finds.failures%2 == 0 && !core.settings.Root
+	if usePeer && len(peers) > 0 {
+		return peers[core.random.IntN(len(peers))], true
+	}
+	if len(core.settings.Parents) == 0 {
+		return "", false
+	}
+	return core.settings.Parents[core.random.IntN(len(core.settings.Parents))], true
+}
+
+// peerAddresses returns the nodes that may be asked, own zone first if it has
+// any, or the seeds if no node is known.
+func (core *Core) peerAddresses() []string {
+	var near, all []string
+	for _, record := range core.table.Records() {
+		if record.Name == core.settings.Name || record.State == member.StateSuspect || record.Link == "" || core.connected(record.Name) {
+			continue
+		}
+		all = append(all, record.Link)
+		if record.Zone == core.settings.Zone {
+			near = append(near, record.Link)
+		}
+	}
+	switch {
+	case len(near) > 0 && core.random.IntN(2) == 0:
+		return near
+	case len(all) > 0:
+		return all
+	default:
+		return core.settings.Seeds
+	}
+}
+
+// keepLaterals opens lateral connections until there are enough.
+func (core *Core) keepLaterals(now time.Time) {
+	if core.settings.Root || now.Before(core.finds.nextPeer) {
+		return
+	}
+	count := 0
+	for _, link := range core.withRole(RoleLateral) {
+		if link.dialled {
+			count++
+		}
+	}
+	if count >= core.settings.MaxLaterals {
+		return
+	}
+	core.finds.nextPeer = now.Add(core.jitter(core.settings.Timing.Retry * 2))
+	peers := core.peerAddresses()
+	if len(peers) == 0 {
+		return
+	}
+	address := peers[core.random.IntN(len(peers))]
+	if address == core.settings.Link || core.finds.dialling[address] != RoleUnknown {
+		return
+	}
+	core.finds.dialling[address] = RoleLateral
+	core.act(Action{Dial: address})
+}
+
+// DialFailed tells that no connection to the address could be made.
+func (core *Core) DialFailed(address string) { delete(core.finds.dialling, address) }
+
+// LinkUp tells that a dialled connection stands.
+func (core *Core) LinkUp(now time.Time, id LinkID, address string) {
+	role := core.finds.dialling[address]
+	delete(core.finds.dialling, address)
+	up := &link{id: id, address: address, dialled: true, news: map[string]member.Record{}}
+	core.links[id] = up
+	if role == RoleParent {
+		core.finds.trying = id
+	}
+	core.send(up, Message{Hello: &Hello{
+		Name:      core.settings.Name,
+		Zone:      core.settings.Zone,
+		Link:      core.settings.Link,
+		Lateral:   role != RoleParent,
+		Version:   core.config.Version(),
+		NeedFloor: !core.floorKnown,
+	}})
+}
+
+func (core *Core) receiveHello(now time.Time, from *link, hello Hello) {
+	from.name, from.zone, from.address = hello.Name, hello.Zone, hello.Link
+	from.version = hello.Version
+	core.dropOlder(from)
+	if hello.Lateral {
+		from.role = RoleLateral
+		core.welcome(from, Welcome{Accepted: true})
+		return
+	}
+	if core.settings.Root && !core.takeToken(now) {
+		core.welcome(from, Welcome{RetryAfter: core.jitter(joinRetryAfter)})
+		return
+	}
+	if core.settings.Root && hello.NeedFloor {
+		core.act(Action{ID: from.id, Confirm: true})
+		return
+	}
+	core.decide(from, Welcome{})
+}
+
+// decide takes the other end as a child or names others to ask.
+func (core *Core) decide(from *link, welcome Welcome) {
+	if !core.mayAdopt(from) {
+		welcome.Redirect = core.redirects(from)
+		core.welcome(from, welcome)
+		return
+	}
+	from.role = RoleChild
+	welcome.Accepted = true
+	welcome.Path = core.ownPath()
+	core.welcome(from, welcome)
+	core.update(from)
+}
+
+// ownPath is the path of this node's children.
+func (core *Core) ownPath() []string {
+	if core.settings.Root {
+		return []string{core.settings.Name, rootMark}
+	}
+	return append([]string{core.settings.Name}, core.path...)
+}
+
+// dropOlder ends an earlier connection that the same node had opened in the
+// same role; the node has forgotten it.
+func (core *Core) dropOlder(from *link) {
+	for _, other := range core.sorted() {
+		if other != from && other.name == from.name && !other.dialled && other.role == RoleChild {
+			core.drop(other)
+		}
+	}
+}
+
+// mayAdopt reports whether a node may become a child: there is room and it is
+// not an ancestor.
+func (core *Core) mayAdopt(from *link) bool {
+	if core.Children() >= core.settings.MaxChildren || !core.Ready() && !core.settings.Root {
+		return false
+	}
+	return !slices.Contains(core.path, from.name) && from.name != core.settings.Name
+}
+
+// takeToken admits a joiner to a root at a bounded rate.
+func (core *Core) takeToken(now time.Time) bool {
+	rate := float64(core.settings.JoinsPerSecond)
+	core.joinTokens = min(rate, core.joinTokens+now.Sub(core.joinsAt).Seconds()*rate)
+	core.joinsAt = now
+	if core.joinTokens < 1 {
+		return false
+	}
+	core.joinTokens--
+	return true
+}
+
+// Confirmed gives the quorum's answer to a Confirm action.
+func (core *Core) Confirmed(id LinkID, version uint64, ok bool) {
+	joiner, present := core.links[id]
+	switch {
+	case !present:
+	case ok:
+		core.decide(joiner, Welcome{Floor: version, Confirmed: true})
+	default:
+		core.welcome(joiner, Welcome{RetryAfter: core.settings.Timing.Retry})
+	}
+}
+
+func (core *Core) welcome(to *link, welcome Welcome) {
+	welcome.Name, welcome.Zone = core.settings.Name, core.settings.Zone
+	if !welcome.Confirmed && core.Ready() {
+		welcome.Floor = core.config.Version()
+	}
+	core.send(to, Message{Welcome: &welcome})
+	if !welcome.Accepted {
+		to.role = RoleUnknown
+	}
+}
+
+// redirects lists children with room, the joiner's zone and small subtrees
+// first.
+func (core *Core) redirects(joiner *link) []Address {
+	children := slices.DeleteFunc(core.withRole(RoleChild), func(child *link) bool {
+		return child.address == "" || child.name == joiner.name || !child.report.Room
+	})
+	core.random.Shuffle(len(children), func(i, j int) { children[i], children[j] = children[j], children[i] })
+	slices.SortStableFunc(children, func(a, b *link) int {
+		return cmp.Or(
+			cmp.Compare(far(a, joiner), far(b, joiner)),
+			cmp.Compare(a.report.Count, b.report.Count),
+		)
+	})
+	addresses := make([]Address, 0, maxRedirects)
+	for _, child := range children[:min(len(children), maxRedirects)] {
+		addresses = append(addresses, Address{Name: child.name, Link: child.address})
+	}
+	return addresses
+}
+
+func far(a, b *link) int {
+	if a.zone == b.zone {
+		return 0
+	}
+	return 1
+}
+
+func (core *Core) receiveWelcome(now time.Time, from *link, welcome Welcome) {
+	from.name, from.zone = welcome.Name, welcome.Zone
+	core.learnFloor(from, welcome)
+	if core.finds.trying != from.id {
+		core.welcomeLateral(from, welcome)
+		return
+	}
+	core.finds.trying = 0
+	if !welcome.Accepted {
+		core.sentAway(now, from, welcome)
+		return
+	}
+	if slices.Contains(welcome.Path, core.settings.Name) {
+		core.drop(from)
+		return
+	}
+	core.parent, from.role = from, RoleParent
+	core.finds.failures = 0
+	core.finds.candidates = nil
+	core.setPath(welcome.Path)
+	core.lastReport = Report{}
+	core.sendDigest(from)
+	core.catchUp(from, welcome)
+}
+
+// catchUp asks a parent for its configuration once there is a floor; what it
+// sent before was dropped.
+func (core *Core) catchUp(from *link, welcome Welcome) {
+	if core.floorKnown && core.config.Version() < welcome.Floor {
+		core.send(from, Message{Pull: &Pull{Version: core.config.Version()}})
+	}
+}
+
+func (core *Core) welcomeLateral(from *link, welcome Welcome) {
+	if !welcome.Accepted || !from.dialled {
+		core.drop(from)
+		return
+	}
+	from.role = RoleLateral
+	core.sendDigest(from)
+	core.catchUp(from, welcome)
+}
+
+func (core *Core) sentAway(now time.Time, from *link, welcome Welcome) {
+	core.drop(from)
+	if welcome.RetryAfter > 0 {
+		core.finds.nextTry = now.Add(core.jitter(welcome.RetryAfter))
+		return
+	}
+	if len(welcome.Redirect) > 0 {
+		core.finds.candidates = welcome.Redirect
+		core.finds.nextTry = now
+	}
+}
+
+// learnFloor takes a confirmed floor at once, and an unconfirmed one when
+// enough nodes of enough zones have answered.
+func (core *Core) learnFloor(from *link, welcome Welcome) {
+	if core.floorKnown {
+		return
+	}
+	if welcome.Confirmed {
+		core.floor, core.floorKnown = welcome.Floor, true
+		return
+	}
+	if welcome.Floor == 0 {
+		return
+	}
+	core.answers[from.name] = floorAnswer{zone: from.zone, version: welcome.Floor}
+	highest, zones := uint64(0), map[string]bool{}
+	for _, answer := range core.answers {
+		highest = max(highest, answer.version)
+		zones[answer.zone] = true
+	}
+	if len(core.answers) >= peersForFloor && len(zones) > 1 {
+		core.floor, core.floorKnown = highest, true
+		for _, link := range core.sorted() {
+			if link.role == RoleParent || link.role == RoleLateral {
+				core.send(link, Message{Pull: &Pull{}})
+			}
+		}
+	}
+}
+
+// setPath takes the parent's ancestors and tells the children of a change.
+func (core *Core) setPath(path []string) {
+	if slices.Equal(path, core.path) || core.settings.Root {
+		return
+	}
+	core.path = path
+	for _, child := range core.withRole(RoleChild) {
+		core.send(child, Message{Path: core.ownPath()})
+	}
+}
+
+// receivePath follows the parent's path; a path through this node is a cycle
+// and is broken here.
+func (core *Core) receivePath(now time.Time, from *link, path []string) {
+	if from != core.parent {
+		return
+	}
+	if slices.Contains(path, core.settings.Name) {
+		core.drop(from)
+		core.finds.restart(now, core.backoff())
+		return
+	}
+	core.setPath(path)
+}
--- /dev/null
+++ b/internal/distr/report.go
@@ -0,0 +1,91 @@
+package distr
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Observe adds outcomes that this node has seen to the next report.
+func (core *Core) Observe(observation Observation) {
+	key := observationKey{route: observation.Route, version: observation.Version, epoch: observation.Epoch}
+	held, ok := core.observations[key]
+	if !ok {
+		held = &Observation{Route: observation.Route, Version: observation.Version, Epoch: observation.Epoch}
+		core.observations[key] = held
+	}
+	held.add(observation)
+}
+
+// TakeObservations hands a root's owner what was reported since the last
+// call.
+func (core *Core) TakeObservations() []Observation {
+	observations := make([]Observation, 0, len(core.observations))
+	for _, observation := range core.observations {
+		observations = append(observations, *observation)
+	}
+	clear(core.observations)
+	slices.SortFunc(observations, func(a, b Observation) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	return observations
+}
+
+func (core *Core) receiveReport(from *link, report Report) {
+	if from.role != RoleChild {
+		return
+	}
+	for _, observation := range report.Observations {
+		core.Observe(observation)
+	}
+	report.Observations = nil
+	from.report, from.reported = report, true
+}
+
+// Subtree returns the lowest version in force at and below this node, and the
+// number of nodes that run one. A root counts only what is below it.
+func (core *Core) Subtree() Report {
+	report := Report{Version: core.config.Version(), Count: 1}
+	if core.settings.Root {
+		report.Count = 0
+	}
+	children := core.withRole(RoleChild)
+	for _, child := range children {
+		if !child.reported {
+			report.Version, report.Count = 0, report.Count+1
+			continue
+		}
+		report.Version = min(report.Version, child.report.Version)
+		report.Count += child.report.Count
+		report.Room = report.Room || child.report.Room
+	}
+	report.Room = report.Room || len(children) < core.settings.MaxChildren
+	return report
+}
+
+// reportUp tells the parent at once of a new version, and otherwise keeps to
+// the report interval.
+func (core *Core) reportUp(now time.Time) {
+	if core.parent == nil || core.parent.role != RoleParent {
+		return
+	}
+	report := core.Subtree()
+	urgent := report.Version != core.lastReport.Version
+	if !urgent && now.Before(core.reportAt) {
+		return
+	}
+	core.reportAt = now.Add(core.settings.Timing.Report)
+	core.lastReport = report
+	report.Observations = core.TakeObservations()
+	core.send(core.parent, Message{Report: &report})
+}
+
+// Versions returns the version each child's part of the tree has come to, by
+// the child's name.
+func (core *Core) Versions() map[string]uint64 {
+	versions := map[string]uint64{}
+	for _, child := range core.withRole(RoleChild) {
+		versions[child.name] = child.report.Version
+	}
+	return versions
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,250 @@
+// Package link carries JSON-RPC between processes over TCP. Each connection
+// has a bounded queue of outgoing notifications; one whose other end does not
+// keep up is closed rather than buffered without bound.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Bounds on one connection.
+const (
+	queueLength  = 1024
+	writeTimeout = 5 * time.Second
+	dialTimeout  = time.Second
+)
+
+// Handler takes what comes in.
+type Handler interface {
+	// Notify takes a notification, in the order of arrival; it must not block
+	// for long.
+	Notify(conn *Conn, method string, params json.RawMessage)
+	// Call answers a request on a worker of the pool.
+	Call(ctx context.Context, conn *Conn, method string, params json.RawMessage) (any, error)
+	// Closed tells that the connection has ended, after its last message.
+	Closed(conn *Conn)
+}
+
+// Traffic counts bytes on connections.
+type Traffic struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+// Conn is one connection, from either side.
+type Conn struct {
+	rpc    *jsonrpc2.Conn
+	remote string
+	queue  chan notification
+	// started is closed once rpc is set, ended once the connection is closed.
+	started chan struct{}
+	ended   chan struct{}
+	close   sync.Once
+}
+
+type notification struct {
+	method string
+	params any
+}
+
+// Options are shared by the connections of a process.
+type Options struct {
+	Traffic *Traffic
+	Pool    *ants.Pool
+	// Idle is the longest silence before a connection counts as lost; zero
+	// for no limit.
+	Idle time.Duration
+}
+
+// countingConn counts bytes and bounds the time of each read and write.
+type countingConn struct {
+	net.Conn
+	options Options
+}
+
+// Read waits for at most the idle time.
+func (conn countingConn) Read(buffer []byte) (int, error) {
+	if conn.options.Idle > 0 {
+		if err := conn.SetReadDeadline(time.Now().Add(conn.options.Idle)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := conn.Conn.Read(buffer)
+	conn.options.Traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+// Write waits for at most the write timeout.
+func (conn countingConn) Write(buffer []byte) (int, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := conn.Conn.Write(buffer)
+	conn.options.Traffic.Sent.Add(uint64(n))
+	return n, err
+}
+
+// Dial connects to an address. The connection ends with the context.
+func Dial(ctx context.Context, address string, handler Handler, options Options) (*Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(ctx, raw, handler, options), nil
+}
+
+// Serve accepts connections until the context ends. It calls opened before
+// the first message of each.
+func Serve(ctx context.Context, listener net.Listener, handler Handler, options Options, opened func(*Conn)) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		conn := prepare(raw)
+		opened(conn)
+		conn.start(ctx, raw, handler, options)
+	}
+}
+
+func prepare(raw net.Conn) *Conn {
+	return &Conn{
+		remote:  raw.RemoteAddr().String(),
+		queue:   make(chan notification, queueLength),
+		started: make(chan struct{}),
+		ended:   make(chan struct{}),
+	}
+}
+
+func newConn(ctx context.Context, raw net.Conn, handler Handler, options Options) *Conn {
+	conn := prepare(raw)
+	conn.start(ctx, raw, handler, options)
+	return conn
+}
+
+func (conn *Conn) start(ctx context.Context, raw net.Conn, handler Handler, options Options) {
+	stream := jsonrpc2.NewBufferedStream(countingConn{Conn: raw, options: options}, jsonrpc2.VarintObjectCodec{})
+	receive := receiver{conn: conn, handler: handler, pool: options.Pool}
+	conn.rpc = jsonrpc2.NewConn(ctx, stream, receive, jsonrpc2.SetLogger(silent{}))
+	close(conn.started)
+	go conn.writeLoop(ctx)
+	go conn.watch(ctx, handler)
+}
+
+// watch reports the end of the connection, once.
+func (conn *Conn) watch(ctx context.Context, handler Handler) {
+	select {
+	case <-conn.rpc.DisconnectNotify():
+	case <-ctx.Done():
+	}
+	conn.Close()
+	handler.Closed(conn)
+}
+
+func (conn *Conn) writeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-conn.ended:
+			return
+		case next := <-conn.queue:
+			if next.method == "" || conn.rpc.Notify(ctx, next.method, next.params) != nil {
+				conn.Close()
+				return
+			}
+		}
+	}
+}
+
+// Remote returns the other end's address.
+func (conn *Conn) Remote() string { return conn.remote }
+
+// Notify queues a notification. It closes the connection and returns false
+// when the queue is full.
+func (conn *Conn) Notify(method string, params any) bool {
+	select {
+	case conn.queue <- notification{method: method, params: params}:
+		return true
+	case <-conn.ended:
+		return false
+	default:
+		conn.Close()
+		return false
+	}
+}
+
+// Finish closes the connection after what is queued was sent.
+func (conn *Conn) Finish() { conn.Notify("", nil) }
+
+// Call sends a request and waits for its answer.
+func (conn *Conn) Call(ctx context.Context, method string, params, result any) error {
+	return conn.rpc.Call(ctx, method, params, result)
+}
+
+// Ended reports whether the connection was closed or lost.
+func (conn *Conn) Ended() bool {
+	select {
+	case <-conn.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends the connection.
+func (conn *Conn) Close() {
+	conn.close.Do(func() {
+		close(conn.ended)
+		<-conn.started
+		_ = conn.rpc.Close()
+	})
+}
+
+// receiver sorts what comes in into notifications and calls.
+type receiver struct {
+	conn    *Conn
+	handler Handler
+	pool    *ants.Pool
+}
+
+// Handle implements jsonrpc2.Handler.
+func (receiver receiver) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	<-receiver.conn.started
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	if request.Notif {
+		receiver.handler.Notify(receiver.conn, request.Method, params)
+		return
+	}
+	err := receiver.pool.Submit(func() {
+		result, err := receiver.handler.Call(ctx, receiver.conn, request.Method, params)
+		if err != nil {
+			_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
+			return
+		}
+		_ = rpc.Reply(ctx, request.ID, result)
+	})
+	if err != nil {
+		_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
+	}
+}
+
+type silent struct{}
+
+// Printf drops the library's own lines; ends of connections are counted.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,174 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is how many groups the records are compared in.
+const Buckets = 16
+
+// Digest is the hash of each group of records; equal digests mean that two
+// tables know the same.
+type Digest [Buckets]uint64
+
+type row struct {
+	record Record
+	// heard is when the record last changed or was repeated.
+	heard time.Time
+}
+
+// Table is one node's view of all records. It is not safe for concurrent use.
+type Table struct {
+	self   string
+	timing Timing
+	rows   map[string]row
+	digest Digest
+	// own is the sequence last used for the own record.
+	own uint64
+	// repeated is when the own record was last written.
+	repeated time.Time
+	// version rises with every change, so that readers can cache.
+	version uint64
+}
+
+// NewTable returns an empty table for the named node.
+func NewTable(self string, timing Timing) *Table {
+	return &Table{self: self, timing: timing, rows: map[string]row{}}
+}
+
+// Version rises with every change of the table.
+func (table *Table) Version() uint64 { return table.version }
+
+// Digest returns the hash of each group of records.
+func (table *Table) Digest() Digest { return table.digest }
+
+// Len returns the number of records, gone ones included.
+func (table *Table) Len() int { return len(table.rows) }
+
+// Get returns the named record.
+func (table *Table) Get(name string) (Record, bool) {
+	row, ok := table.rows[name]
+	return row.record, ok
+}
+
+// Records returns all records that are not gone, sorted by name.
+func (table *Table) Records() []Record {
+	return table.collect(func(record Record) bool { return record.State != StateGone })
+}
+
+// InBuckets returns the records of the groups in which other differs.
+func (table *Table) InBuckets(other Digest) []Record {
+	return table.collect(func(record Record) bool {
+		bucket := bucketOf(record.Name)
+		return table.digest[bucket] != other[bucket]
+	})
+}
+
+func (table *Table) collect(want func(Record) bool) []Record {
+	var records []Record
+	for _, name := range slices.SortedFunc(maps.Keys(table.rows), strings.Compare) {
+		if record := table.rows[name].record; want(record) {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
+
+// put stores a record and keeps the digest.
+func (table *Table) put(now time.Time, record Record) {
+	bucket := bucketOf(record.Name)
+	if old, ok := table.rows[record.Name]; ok {
+		table.digest[bucket] -= old.record.hash()
+	}
+	table.digest[bucket] += record.hash()
+	table.rows[record.Name] = row{record: record, heard: now}
+	table.version++
+}
+
+func (table *Table) remove(name string) {
+	table.digest[bucketOf(name)] -= table.rows[name].record.hash()
+	delete(table.rows, name)
+	table.version++
+}
+
+// Announce writes the own record and returns it for spreading.
+func (table *Table) Announce(now time.Time, record Record) Record {
+	table.own++
+	record.Name = table.self
+	record.Sequence = table.own
+	table.repeated = now
+	table.put(now, record)
+	return record
+}
+
+// Merge takes a record from elsewhere and returns what has to be spread: the
+// record if it was news, a refutation if it suspects the owner, or nothing.
+func (table *Table) Merge(now time.Time, record Record) (Record, bool) {
+	held, known := table.rows[record.Name]
+	if record.Name == table.self {
+		return table.defend(now, record, held.record, known)
+	}
+	if known && !record.Newer(held.record) {
+		return Record{}, false
+	}
+	if !known && record.State == StateGone {
+		return Record{}, false
+	}
+	table.put(now, record)
+	return record, true
+}
+
+// defend answers a record that somebody else spreads about this node.
+func (table *Table) defend(now time.Time, record, own Record, known bool) (Record, bool) {
+	if !known || !record.Newer(own) || own.State == StateGone {
+		return Record{}, false
+	}
+	if record.Incarnation > own.Incarnation {
+		own.Incarnation = record.Incarnation + 1
+	}
+	table.own = max(table.own, record.Sequence)
+	return table.Announce(now, own), true
+}
+
+// Suspect marks a node whose connection was lost and returns the record to
+// spread.
+func (table *Table) Suspect(now time.Time, name string) (Record, bool) {
+	held, ok := table.rows[name]
+	if !ok || held.record.State >= StateSuspect || name == table.self {
+		return Record{}, false
+	}
+	held.record.State = StateSuspect
+	table.put(now, held.record)
+	return held.record, true
+}
+
+// Tick repeats the own record when it is due, ends suspicions and leases, and
+// forgets records that are long gone. It returns what has to be spread.
+func (table *Table) Tick(now time.Time) []Record {
+	var spread []Record
+	if own, ok := table.rows[table.self]; ok && now.Sub(table.repeated) >= table.timing.Refresh {
+		spread = append(spread, table.Announce(now, own.record))
+	}
+	for name, row := range table.rows {
+		if name == table.self {
+			continue
+		}
+		silent := now.Sub(row.heard)
+		switch {
+		case row.record.State == StateGone && silent >= table.timing.Memory:
+			table.remove(name)
+		case row.record.State == StateSuspect && silent >= table.timing.Suspicion,
+			row.record.State != StateGone && silent >= table.timing.Lease:
+			row.record.State = StateGone
+			table.put(now, row.record)
+		}
+	}
+	return spread
+}
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+)
+
+// Bounds of an upstream's announcement.
+const (
+	minTTL   = 100 * time.Millisecond
+	maxTTL   = time.Hour
+	maxSlots = 100_000
+)
+
+// serveAdmin takes the announcements of the upstream beside this node and
+// shows the node's state.
+func (node *Node) serveAdmin(request *fasthttp.RequestCtx) {
+	switch method, path := string(request.Method()), string(request.Path()); {
+	case method == "POST" && path == "/v1/announce":
+		node.takeAnnouncement(request)
+	case method == "POST" && path == "/v1/leave":
+		node.gate.withdraw("it is leaving")
+		request.SetBodyString("{}\n")
+	case method == "GET" && path == "/v1/health":
+		node.health(request)
+	case method == "GET" && path == "/metrics":
+		node.stats.Write(request)
+	default:
+		request.SetStatusCode(fasthttp.StatusNotFound)
+		request.SetBodyString(method + " " + path + " is not part of the API\n")
+	}
+}
+
+func (node *Node) takeAnnouncement(request *fasthttp.RequestCtx) {
+	var announcement wire.Announcement
+	err := wire.Strict(request.PostBody(), &announcement)
+	announced, ttl, reason := checkAnnouncement(announcement)
+	if err != nil {
+		reason = err.Error()
+	}
+	if reason != "" {
+		request.SetStatusCode(fasthttp.StatusBadRequest)
+		request.SetBody(append(wire.Must(wire.APIError{Code: wire.CodeInvalid, Reason: reason}), '\n'))
+		return
+	}
+	announced.until = node.now().Add(ttl)
+	if node.gate.accept(announced) {
+		node.announce()
+	}
+	request.SetBodyString("{}\n")
+}
+
+func checkAnnouncement(announcement wire.Announcement) (upstream, time.Duration, string) {
+	ttl, err := time.ParseDuration(announcement.TTL)
+	_, _, addressErr := net.SplitHostPort(announcement.Address)
+	announced := upstream{
+		service: announcement.Service,
+		version: announcement.Version,
+		address: announcement.Address,
+		slots:   announcement.Slots,
+	}
+	switch {
+	case announcement.Service == "" || announcement.Version == "":
+		return announced, ttl, "service and version must be named"
+	case addressErr != nil:
+		return announced, ttl, fmt.Sprintf("address: %q is not of the form IP:port", announcement.Address)
+	case announcement.Slots < 1 || announcement.Slots > maxSlots:
+		return announced, ttl, fmt.Sprintf("slots: must be from 1 to %d", maxSlots)
+	case err != nil || ttl < minTTL || ttl > maxTTL:
+		return announced, ttl, fmt.Sprintf("ttl: must be a duration from %s to %s", minTTL, maxTTL)
+	}
+	return announced, ttl, ""
+}
+
+// health tells whether calls can be taken, and by which configuration.
+func (node *Node) health(request *fasthttp.RequestCtx) {
+	version := node.version()
+	if version == 0 {
+		request.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	request.SetBodyString(fmt.Sprintf("{\"version\":%d}\n", version))
+}
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,357 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/dedup"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// The methods between nodes about keyed calls.
+const (
+	methodClaim   = "claim"
+	methodRelease = "release"
+	methodRecall  = "recall"
+)
+
+// Bounds of the claiming of a key.
+const (
+	claimTimeout = 500 * time.Millisecond
+	claimTries   = 4
+	claimBackoff = 20 * time.Millisecond
+)
+
+// claims makes keyed calls run at most once. Its lock guards all fields below
+// it.
+type claims struct {
+	node *Node
+
+	lock    sync.Mutex
+	ledger  *dedup.Ledger
+	witness *dedup.Witness
+	// placements holds the active witness sets, current first.
+	placements [][]string
+	// links maps each known node to its link address.
+	links map[string]string
+}
+
+func newClaims(node *Node, started time.Time) *claims {
+	return &claims{
+		node:    node,
+		ledger:  dedup.NewLedger(node.settings.Name, node.incarnation),
+		witness: dedup.NewWitness(started),
+		links:   map[string]string{},
+	}
+}
+
+func (claims *claims) setNodes(records []member.Record) {
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	for _, record := range records {
+		claims.links[record.Name] = record.Link
+	}
+}
+
+func (claims *claims) setWitnesses(config *rsrc.Config) {
+	witnesses, _ := config.Witnesses()
+	var placements [][]string
+	for _, placement := range witnesses.Placements() {
+		placements = append(placements, placement.Nodes)
+	}
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	claims.placements = placements
+}
+
+// serve runs a keyed call at most once and answers with its outcome.
+func (claims *claims) serve(ctx context.Context, gate *gate, request *fasthttp.RequestCtx, text string) {
+	header := &request.Request.Header
+	key, err := dedup.ParseKey(string(header.Peek(proxy.HeaderService)), string(header.Peek(proxy.HeaderCustomer)), text)
+	if err != nil {
+		gate.refuse(request, refusal{status: fasthttp.StatusBadRequest, reason: err.Error()})
+		return
+	}
+	waiting := make(chan dedup.Outcome, 1)
+	claims.lock.Lock()
+	begun, attempt, outcome := claims.ledger.Begin(claims.node.now(), key, contentOf(request), func(outcome dedup.Outcome) { waiting <- outcome })
+	claims.lock.Unlock()
+	switch begun {
+	case dedup.Start:
+		claims.start(ctx, gate, request, key, attempt)
+		return
+	case dedup.Pending:
+		outcome = awaitOutcome(ctx, waiting)
+	}
+	claims.replay(gate, request, outcome)
+}
+
+// contentOf tells two different requests under one key apart.
+func contentOf(request *fasthttp.RequestCtx) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.Write(request.Method())
+	_, _ = hash.Write(request.RequestURI())
+	_, _ = hash.Write(request.PostBody())
+	return hash.Sum64()
+}
+
+func awaitOutcome(ctx context.Context, waiting <-chan dedup.Outcome) dedup.Outcome {
+	select {
+	case outcome := <-waiting:
+		return outcome
+	case <-ctx.Done():
+		return dedup.Outcome{Kind: dedup.Unknown, Reason: "the first call with this key is still running"}
+	}
+}
+
+// replay answers with an outcome that was reached elsewhere or earlier.
+func (claims *claims) replay(gate *gate, request *fasthttp.RequestCtx, outcome dedup.Outcome) {
+	claims.node.stats.Count(`vp_keyed_replays_total`, 1)
+	switch outcome.Kind {
+	case dedup.Ran:
+		err := request.Response.Read(bufio.NewReader(bytes.NewReader(outcome.Answer)))
+		if err != nil {
+			answer(request, fasthttp.StatusBadGateway, proxy.OutcomeUnknown, "the recorded answer does not read")
+		}
+	case dedup.NotRun:
+		status := fasthttp.StatusServiceUnavailable
+		if outcome.Reason == dedup.ReasonReused || outcome.Reason == dedup.ReasonFuture {
+			status = fasthttp.StatusUnprocessableEntity
+		}
+		gate.refuse(request, refusal{status: status, reason: outcome.Reason})
+	default:
+		answer(request, fasthttp.StatusBadGateway, proxy.OutcomeUnknown, outcome.Reason)
+	}
+}
+
+// start takes a slot, claims the key and runs the call.
+func (claims *claims) start(ctx context.Context, gate *gate, request *fasthttp.RequestCtx, key dedup.Key, attempt dedup.Attempt) {
+	target, refused := gate.enter(ctx, &request.Request)
+	if refused != nil {
+		claims.finish(key, dedup.Outcome{Kind: dedup.NotRun, Reason: refused.reason})
+		gate.refuse(request, *refused)
+		return
+	}
+	outcome, won := claims.claim(ctx, key, attempt)
+	if !won {
+		gate.leave(0)
+		claims.finish(key, outcome)
+		claims.replay(gate, request, outcome)
+		return
+	}
+	ended := gate.forward(ctx, target, request)
+	switch ended {
+	case proxy.OutcomeRan:
+		claims.finish(key, dedup.Outcome{Kind: dedup.Ran, Answer: encodeAnswer(&request.Response)})
+	case proxy.OutcomeNotRun:
+		claims.giveUp(key, attempt)
+		claims.finish(key, dedup.Outcome{Kind: dedup.NotRun, Reason: string(request.Response.Header.Peek(proxy.HeaderReason))})
+	default:
+		claims.finish(key, dedup.Outcome{Kind: dedup.Unknown, Reason: string(request.Response.Header.Peek(proxy.HeaderReason))})
+	}
+}
+
+func (claims *claims) finish(key dedup.Key, outcome dedup.Outcome) {
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	claims.ledger.Finish(key, outcome)
+}
+
+// claim asks the witnesses until the claim is won or somebody else's outcome
+// is known.
+func (claims *claims) claim(ctx context.Context, key dedup.Key, attempt dedup.Attempt) (dedup.Outcome, bool) {
+	for try := range claimTries {
+		poll := claims.poll(ctx, key, attempt)
+		if poll == nil {
+			return dedup.Outcome{Kind: dedup.NotRun, Reason: "no witnesses are placed yet"}, false
+		}
+		if poll.Won() {
+			return dedup.Outcome{}, true
+		}
+		attempt = claims.lose(key, attempt)
+		holder, held := poll.Holder()
+		if !held {
+			return dedup.Outcome{Kind: dedup.NotRun, Reason: "too few witnesses answered"}, false
+		}
+		outcome := claims.recall(ctx, key, holder)
+		if outcome.Kind != dedup.NotRun {
+			return outcome, false
+		}
+		claims.giveUp(key, holder)
+		if !claims.pause(ctx, try) {
+			break
+		}
+	}
+	return dedup.Outcome{Kind: dedup.NotRun, Reason: "the key is contended"}, false
+}
+
+// pause waits for a random time that grows with each try.
+func (claims *claims) pause(ctx context.Context, try int) bool {
+	claims.node.lock.Lock()
+	bound := int64(claimBackoff << try)
+	wait := time.Duration(claims.node.random.Int64N(bound))
+	claims.node.lock.Unlock()
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// lose gives the attempt up for good and starts another.
+func (claims *claims) lose(key dedup.Key, attempt dedup.Attempt) dedup.Attempt {
+	claims.lock.Lock()
+	claims.ledger.Lost(key)
+	claims.lock.Unlock()
+	claims.giveUp(key, attempt)
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	return claims.ledger.Again(key)
+}
+
+// giveUp releases an attempt's claims everywhere; a lost release is found out
+// when the key comes back.
+func (claims *claims) giveUp(key dedup.Key, attempt dedup.Attempt) {
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	claims.witness.Release(key, attempt)
+	if len(claims.placements) == 0 {
+		return
+	}
+	for _, name := range dedup.NewPoll(key, claims.placements).Witnesses() {
+		if address := claims.links[name]; name != claims.node.settings.Name && address != "" {
+			claims.node.caller.Post(claims.node.ctx, address, methodRelease, wire.FromClaim(key, attempt))
+		}
+	}
+}
+
+type vote struct {
+	name   string
+	answer dedup.Answer
+}
+
+// poll asks all of the key's witnesses at once and returns when the answers
+// decide. It returns nil while no witnesses are placed.
+func (claims *claims) poll(ctx context.Context, key dedup.Key, attempt dedup.Attempt) *dedup.Poll {
+	claims.lock.Lock()
+	placed := len(claims.placements) > 0
+	poll := dedup.NewPoll(key, claims.placements)
+	claims.lock.Unlock()
+	if !placed {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	names := poll.Witnesses()
+	votes := make(chan vote, len(names))
+	for _, name := range names {
+		ask := func() { votes <- vote{name: name, answer: claims.ask(ctx, name, key, attempt)} }
+		if name == claims.node.settings.Name || claims.node.pool.Submit(ask) != nil {
+			ask()
+		}
+	}
+	for !poll.Decided() {
+		select {
+		case vote := <-votes:
+			poll.Add(vote.name, vote.answer)
+		case <-ctx.Done():
+			return poll
+		}
+	}
+	return poll
+}
+
+// ask gets one witness's answer; no answer counts as an abstention.
+func (claims *claims) ask(ctx context.Context, name string, key dedup.Key, attempt dedup.Attempt) dedup.Answer {
+	claims.lock.Lock()
+	address := claims.links[name]
+	if name == claims.node.settings.Name {
+		defer claims.lock.Unlock()
+		return claims.witness.Claim(claims.node.now(), key, attempt)
+	}
+	claims.lock.Unlock()
+	var answered wire.ClaimAnswer
+	err := claims.node.caller.Call(ctx, address, methodClaim, wire.FromClaim(key, attempt), &answered)
+	if address == "" || err != nil {
+		return dedup.Answer{Grade: dedup.Abstained}
+	}
+	return answered.Domain()
+}
+
+// recall asks the holder of a claim what came of its attempt.
+func (claims *claims) recall(ctx context.Context, key dedup.Key, holder dedup.Attempt) dedup.Outcome {
+	if holder.Node == claims.node.settings.Name {
+		outcome, _ := claims.recallHere(ctx, key, holder)
+		return outcome
+	}
+	claims.lock.Lock()
+	address := claims.links[holder.Node]
+	claims.lock.Unlock()
+	var answered wire.RecallAnswer
+	err := claims.node.caller.Call(ctx, address, methodRecall, wire.FromClaim(key, holder), &answered)
+	if address == "" || err != nil {
+		return dedup.Outcome{Kind: dedup.Unknown, Reason: "the node that claimed the key cannot be asked"}
+	}
+	return answered.Domain()
+}
+
+func (claims *claims) recallHere(ctx context.Context, key dedup.Key, attempt dedup.Attempt) (dedup.Outcome, error) {
+	waiting := make(chan dedup.Outcome, 1)
+	claims.lock.Lock()
+	begun, outcome := claims.ledger.Recall(claims.node.now(), key, attempt, func(outcome dedup.Outcome) { waiting <- outcome })
+	claims.lock.Unlock()
+	if begun != dedup.Pending {
+		return outcome, nil
+	}
+	select {
+	case outcome := <-waiting:
+		return outcome, nil
+	case <-ctx.Done():
+		return dedup.Outcome{Kind: dedup.Unknown, Reason: "the call is still running"}, ctx.Err()
+	}
+}
+
+// call answers other nodes' requests.
+func (claims *claims) call(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	var request wire.ClaimRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	key, attempt := request.Domain()
+	switch method {
+	case methodClaim:
+		claims.lock.Lock()
+		defer claims.lock.Unlock()
+		return wire.FromAnswer(claims.witness.Claim(claims.node.now(), key, attempt)), nil
+	case methodRecall:
+		outcome, err := claims.recallHere(ctx, key, attempt)
+		return wire.FromOutcome(outcome), err
+	default:
+		return nil, trace.NotFound("method %q is unknown", method)
+	}
+}
+
+func (claims *claims) notify(method string, params json.RawMessage) {
+	var request wire.ClaimRequest
+	if method != methodRelease || json.Unmarshal(params, &request) != nil {
+		claims.node.stats.Count(fmt.Sprintf(`vp_unknown_notifications_total{method=%q}`, method), 1)
+		return
+	}
+	key, attempt := request.Domain()
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	claims.witness.Release(key, attempt)
+}
--- /dev/null
+++ b/internal/proxy/pool.go
@@ -0,0 +1,226 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+// ExchangeError reports an exchange without a whole answer.
+type ExchangeError struct {
+	// Sent is false when it is certain that the other side saw nothing of the
+	// request.
+	Sent bool
+	Err  error
+}
+
+// Error returns the cause and whether anything was sent.
+func (err *ExchangeError) Error() string {
+	if err.Sent {
+		return "no whole answer: " + err.Err.Error()
+	}
+	return "nothing was sent: " + err.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (err *ExchangeError) Unwrap() error { return err.Err }
+
+// ErrCut reports an answer whose end cannot be told from a lost connection.
+var ErrCut = errors.New("the answer has neither a length nor chunks")
+
+// Settings bound a pool.
+type Settings struct {
+	// MaxConns is the number of connections to one address; a call beyond it
+	// waits until its deadline.
+	MaxConns int
+	// MaxIdle is how long a connection may lie unused; it is below the time
+	// after which the other side closes it.
+	MaxIdle time.Duration
+	// MaxBody bounds an answer's body, in bytes.
+	MaxBody int
+}
+
+// DefaultSettings suit an upstream with about 110 connections.
+func DefaultSettings() Settings {
+	return Settings{MaxConns: 100, MaxIdle: 20 * time.Second, MaxBody: 64 << 20}
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	idle   time.Time
+}
+
+// pool holds the connections to one address.
+type pool struct {
+	// tokens has one entry for each connection that may be in use.
+	tokens chan struct{}
+	lock   sync.Mutex
+	// idle is a stack: the most recently used connection is on top.
+	idle []*conn
+}
+
+// Pools holds the connections to all addresses. It is safe for concurrent
+// use. Lock order: Pools.lock before pool.lock.
+type Pools struct {
+	settings Settings
+	now      func() time.Time
+	lock     sync.Mutex
+	pools    map[string]*pool
+}
+
+// New returns empty pools.
+func New(settings Settings, now func() time.Time) *Pools {
+	return &Pools{settings: settings, now: now, pools: map[string]*pool{}}
+}
+
+func (pools *Pools) pool(address string) *pool {
+	pools.lock.Lock()
+	defer pools.lock.Unlock()
+	held, ok := pools.pools[address]
+	if !ok {
+		held = &pool{tokens: make(chan struct{}, pools.settings.MaxConns)}
+		pools.pools[address] = held
+	}
+	return held
+}
+
+// Do carries one exchange. It ends when the answer is whole, the context ends
+// or the connection is lost; in the latter cases the connection is closed,
+// which cancels the call at the other side.
+func (pools *Pools) Do(ctx context.Context, address string, request *fasthttp.Request, response *fasthttp.Response) error {
+	pool := pools.pool(address)
+	select {
+	case pool.tokens <- struct{}{}:
+	case <-ctx.Done():
+		return &ExchangeError{Err: context.Cause(ctx)}
+	}
+	defer func() { <-pool.tokens }()
+	conn, err := pools.take(ctx, pool, address)
+	if err != nil {
+		return &ExchangeError{Err: err}
+	}
+	err = pools.exchange(ctx, conn, request, response)
+	if err != nil || response.ConnectionClose() || request.ConnectionClose() {
+		_ = conn.Close()
+		return err
+	}
+	conn.idle = pools.now()
+	pool.lock.Lock()
+	pool.idle = append(pool.idle, conn)
+	pool.lock.Unlock()
+	return nil
+}
+
+// take returns a live idle connection or a new one.
+func (pools *Pools) take(ctx context.Context, pool *pool, address string) (*conn, error) {
+	for {
+		pool.lock.Lock()
+		count := len(pool.idle)
+		if count == 0 {
+			pool.lock.Unlock()
+			return dial(ctx, address)
+		}
+		top := pool.idle[count-1]
+		pool.idle = pool.idle[:count-1]
+		pool.lock.Unlock()
+		if pools.now().Sub(top.idle) < pools.settings.MaxIdle && quiet(top.Conn) {
+			return top, nil
+		}
+		_ = top.Close()
+	}
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	dialler := net.Dialer{}
+	raw, err := dialler.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw)}, nil
+}
+
+// quiet reports whether an idle connection is open and has nothing to read;
+// anything else is the end of it or a leftover of an earlier exchange.
+func quiet(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errors.Is(peekErr, unix.EAGAIN)
+	})
+	return err == nil && open
+}
+
+// exchange writes the request and reads the whole answer.
+func (pools *Pools) exchange(ctx context.Context, conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return &ExchangeError{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err := request.Write(conn.writer)
+	if err == nil {
+		err = conn.writer.Flush()
+	}
+	if err == nil {
+		err = readWhole(conn.reader, request, response, pools.settings.MaxBody)
+	}
+	if !stop() && err == nil {
+		// The context ended after the answer was whole; the connection is gone.
+		response.SetConnectionClose()
+	}
+	if err != nil {
+		return &ExchangeError{Sent: true, Err: err}
+	}
+	if conn.reader.Buffered() > 0 {
+		// More than the answer came: the next answer would not be its own.
+		response.SetConnectionClose()
+	}
+	return nil
+}
+
+// readWhole reads an answer whose end is marked by a length or by chunks.
+func readWhole(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
+	response.SkipBody = request.Header.IsHead()
+	for {
+		if err := response.Header.Read(reader); err != nil {
+			return err
+		}
+		if code := response.StatusCode(); code >= 200 || code == fasthttp.StatusSwitchingProtocols {
+			break
+		}
+	}
+	const identity = -2
+	if response.Header.ContentLength() == identity && !response.SkipBody && hasBody(response.StatusCode()) {
+		return ErrCut
+	}
+	if response.SkipBody {
+		return nil
+	}
+	const chunked = -1
+	chunks := response.Header.ContentLength() == chunked
+	if err := response.ReadBody(reader, maxBody); err != nil || !chunks {
+		return err
+	}
+	return response.Header.ReadTrailer(reader)
+}
+
+func hasBody(status int) bool {
+	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
--- /dev/null
+++ b/internal/raft/step.go
@@ -0,0 +1,196 @@
+package raft
+
+import "time"
+
+// Step takes a message from another replica.
+func (core *Core) Step(now time.Time, message Message) error {
+	if message.To != core.id {
+		return nil
+	}
+	switch message.Kind {
+	case MessagePreVote, MessageVote:
+		core.stepVote(now, message)
+		return nil
+	case MessagePreVoteReply, MessageVoteReply:
+		core.stepVoteReply(now, message)
+		return nil
+	}
+	if message.Term < core.hard.Term {
+		core.refuseOld(message)
+		return nil
+	}
+	switch message.Kind {
+	case MessageAppend:
+		core.followLeader(now, message)
+		return core.stepAppend(message)
+	case MessageSnapshot:
+		core.followLeader(now, message)
+		core.stepSnapshot(message)
+	case MessageAppendReply:
+		core.stepAppendReply(now, message)
+	}
+	return nil
+}
+
+// refuseOld tells an old leader of the present term.
+func (core *Core) refuseOld(message Message) {
+	if message.Kind == MessageAppend || message.Kind == MessageSnapshot {
+		core.send(Message{Kind: MessageAppendReply, To: message.From, Term: core.hard.Term, Reject: true, Index: core.log.last()})
+	}
+}
+
+func (core *Core) followLeader(now time.Time, message Message) {
+	if message.Term > core.hard.Term || core.role != RoleFollower || core.leader != message.From {
+		core.becomeFollower(now, message.Term, message.From)
+	}
+	core.leaderHeard = now
+	core.resetElection(now)
+}
+
+// leaderAlive reports whether a leader was heard within the shortest election
+// timeout; then no candidate gets a vote, so that a replica that comes back
+// from a partition does not depose a working leader.
+func (core *Core) leaderAlive(now time.Time) bool {
+	if core.role == RoleLeader {
+		return core.quorumHeard(now)
+	}
+	return core.leader != "" && now.Sub(core.leaderHeard) < core.timing.Election
+}
+
+func (core *Core) stepVote(now time.Time, message Message) {
+	reply := Message{Kind: MessagePreVoteReply, To: message.From, Term: message.Term}
+	if message.Kind == MessageVote {
+		reply.Kind = MessageVoteReply
+	}
+	if core.leaderAlive(now) || message.Term < core.hard.Term {
+		reply.Reject, reply.Term = true, core.hard.Term
+		core.send(reply)
+		return
+	}
+	if message.Kind == MessageVote && message.Term > core.hard.Term {
+		core.becomeFollower(now, message.Term, "")
+	}
+	free := core.hard.Vote == "" || core.hard.Vote == message.From
+	if message.Kind == MessagePreVote {
+		free = message.Term > core.hard.Term
+	}
+	if !free || !core.upToDate(message) {
+		reply.Reject, reply.Term = true, core.hard.Term
+		core.send(reply)
+		return
+	}
+	if message.Kind == MessageVote {
+		core.hard.Vote = message.From
+		core.resetElection(now)
+	}
+	core.send(reply)
+}
+
+// upToDate reports whether the candidate's log holds at least all that this
+// replica's log may have committed.
+func (core *Core) upToDate(message Message) bool {
+	if message.LogTerm != core.log.lastTerm() {
+		return message.LogTerm > core.log.lastTerm()
+	}
+	return message.Index >= core.log.last()
+}
+
+func (core *Core) stepVoteReply(now time.Time, message Message) {
+	if message.Reject {
+		if message.Term > core.hard.Term {
+			core.becomeFollower(now, message.Term, "")
+		}
+		return
+	}
+	preVote := message.Kind == MessagePreVoteReply && core.role == RolePreCandidate && message.Term == core.hard.Term+1
+	vote := message.Kind == MessageVoteReply && core.role == RoleCandidate && message.Term == core.hard.Term
+	if preVote || vote {
+		core.votes[message.From] = true
+		core.countVotes(now)
+	}
+}
+
+func (core *Core) stepAppend(message Message) error {
+	reply := Message{Kind: MessageAppendReply, To: message.From, Term: core.hard.Term, Round: message.Round}
+	if message.Index < core.log.base.Index {
+		message = trimToBase(message, core.log.base.Index)
+	}
+	known := message.Index <= core.log.last() &&
+		(message.Index <= core.log.base.Index || core.log.term(message.Index) == message.LogTerm)
+	if !known {
+		reply.Reject = true
+		reply.Index = min(core.log.last(), message.Index-1)
+		core.send(reply)
+		return nil
+	}
+	for _, entry := range message.Entries {
+		if err := core.takeEntry(entry); err != nil {
+			return err
+		}
+	}
+	reply.Index = max(message.Index+uint64(len(message.Entries)), core.log.base.Index)
+	core.commit = max(core.commit, min(message.Commit, reply.Index))
+	core.send(reply)
+	return nil
+}
+
+// trimToBase drops the entries that the snapshot already stands for.
+func trimToBase(message Message, base uint64) Message {
+	drop := min(base-message.Index, uint64(len(message.Entries)))
+	message.Entries = message.Entries[drop:]
+	message.Index = base
+	return message
+}
+
+func (core *Core) takeEntry(entry Entry) error {
+	if core.log.term(entry.Index) == entry.Term && entry.Index <= core.log.last() {
+		return nil
+	}
+	if entry.Index <= core.commit {
+		return &CorruptError{Reason: "a leader replaces a committed entry"}
+	}
+	if entry.Index <= core.log.last() {
+		core.log.truncate(entry.Index)
+	}
+	core.log.append(entry)
+	return nil
+}
+
+func (core *Core) stepSnapshot(message Message) {
+	snapshot := *message.Snapshot
+	reply := Message{Kind: MessageAppendReply, To: message.From, Term: core.hard.Term, Round: message.Round}
+	if snapshot.Index > core.commit {
+		core.log.reset(snapshot)
+		core.commit = snapshot.Index
+		core.install = &snapshot
+	}
+	reply.Index = core.commit
+	core.send(reply)
+}
+
+func (core *Core) stepAppendReply(now time.Time, message Message) {
+	if message.Term > core.hard.Term {
+		core.becomeFollower(now, message.Term, "")
+		return
+	}
+	peer := core.progress[message.From]
+	if core.role != RoleLeader || peer == nil {
+		return
+	}
+	peer.heard = now
+	peer.round = max(peer.round, message.Round)
+	core.finishReads()
+	if message.Reject {
+		peer.next = max(peer.match+1, min(peer.next-1, message.Index+1))
+		core.sendAppend(now, message.From, peer)
+		return
+	}
+	if message.Index > peer.match {
+		peer.match = message.Index
+		peer.next = max(peer.next, peer.match+1)
+		core.advanceCommit(now)
+	}
+	if core.role == RoleLeader && peer.next <= core.log.last() {
+		core.sendAppend(now, message.From, peer)
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,165 @@
+// Package store is the replicated state machine: the configuration and the
+// table of answered requests. It reads no clock and does no input or output;
+// replicas that apply the same entries hold the same state.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// MaxAnswered bounds the table of answered requests; the oldest entry is
+// forgotten first.
+const MaxAnswered = 4096
+
+// Store holds the state after the last applied entry. It is not safe for
+// concurrent use; the configuration it returns is immutable.
+type Store struct {
+	config *rsrc.Config
+	// answered has an entry for each id in order.
+	answered map[string]wire.Answered
+	// order lists the request ids, oldest first, at most MaxAnswered.
+	order []string
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{config: rsrc.EmptyConfig(), answered: map[string]wire.Answered{}}
+}
+
+// Config returns the configuration after the last applied entry.
+func (store *Store) Config() *rsrc.Config { return store.config }
+
+// Answer returns the recorded result of a request and whether there is one.
+func (store *Store) Answer(requestID string) (wire.Result, bool) {
+	answered, ok := store.answered[requestID]
+	return answered.Result, ok
+}
+
+// Apply carries out one log entry and returns its result. An entry that does
+// not decode is a broken invariant of the log and comes back as an error.
+func (store *Store) Apply(index uint64, data []byte) (wire.Result, error) {
+	var command wire.Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		return wire.Result{}, trace.Wrap(err, "log entry %d", index)
+	}
+	if answered, ok := store.answered[command.RequestID]; ok {
+		if answered.Hash != command.Content {
+			return wire.Result{Code: wire.CodeReused, Reason: "the request id was used before with other contents"}, nil
+		}
+		return answered.Result, nil
+	}
+	result := store.execute(index, command)
+	store.record(wire.Answered{RequestID: command.RequestID, Hash: command.Content, Result: result})
+	return result, nil
+}
+
+func (store *Store) execute(index uint64, command wire.Command) wire.Result {
+	for _, expect := range command.Expect {
+		if err := store.checkRevision(expect); err != nil {
+			return refusal(err)
+		}
+	}
+	resources, err := command.Resources()
+	if err != nil {
+		return refusal(err)
+	}
+	change := rsrc.Change{Put: resources}
+	for _, key := range command.Remove {
+		change.Remove = append(change.Remove, key.Domain())
+	}
+	store.dropEndedRollouts(&change)
+	config, err := store.config.Apply(index, change)
+	if err != nil {
+		return refusal(err)
+	}
+	store.config = config
+	return wire.Result{Code: wire.CodeOK, Version: index}
+}
+
+// dropEndedRollouts removes the history of rollouts along with their route.
+func (store *Store) dropEndedRollouts(change *rsrc.Change) {
+	for _, key := range change.Remove {
+		if key.Kind() != rsrc.KindRoute {
+			continue
+		}
+		rollout, ok := store.config.Rollout(key.Name())
+		if ok && rollout.Last().State.Ended() && !slices.Contains(change.Remove, rollout.Key()) {
+			change.Remove = append(change.Remove, rollout.Key())
+		}
+	}
+}
+
+func (store *Store) checkRevision(expect wire.Expect) error {
+	key := expect.Key.Domain()
+	current := uint64(0)
+	if resource, ok := store.config.Get(key); ok {
+		current = resource.Revision()
+	}
+	if current != expect.Revision {
+		return &rsrc.ConflictError{Key: key, Expected: expect.Revision, Current: current}
+	}
+	return nil
+}
+
+func refusal(err error) wire.Result {
+	var conflict *rsrc.ConflictError
+	if errors.As(err, &conflict) {
+		return wire.Result{Code: wire.CodeConflict, Path: conflict.Key.String(), Reason: err.Error()}
+	}
+	var fault *rsrc.FaultError
+	if errors.As(err, &fault) {
+		return wire.Result{Code: wire.CodeInvalid, Path: fault.Path, Reason: fault.Reason}
+	}
+	return wire.Result{Code: wire.CodeInvalid, Reason: err.Error()}
+}
+
+func (store *Store) record(answered wire.Answered) {
+	if answered.RequestID == "" {
+		return
+	}
+	store.answered[answered.RequestID] = answered
+	store.order = append(store.order, answered.RequestID)
+	if len(store.order) > MaxAnswered {
+		delete(store.answered, store.order[0])
+		store.order = store.order[1:]
+	}
+}
+
+// Snapshot encodes the whole state.
+func (store *Store) Snapshot() []byte {
+	state := wire.State{Config: wire.FromConfig(store.config)}
+	for _, id := range store.order {
+		state.Answered = append(state.Answered, store.answered[id])
+	}
+	return wire.Must(state)
+}
+
+// Restore replaces the state by an encoded one; on error it stays as it was.
+func (store *Store) Restore(data []byte) error {
+	var state wire.State
+	if err := json.Unmarshal(data, &state); err != nil {
+		return trace.Wrap(err, "snapshot")
+	}
+	config, err := state.Config.Domain()
+	if err != nil {
+		return trace.Wrap(err, "snapshot")
+	}
+	if config.Version() < store.config.Version() {
+		return fmt.Errorf("snapshot: version %d is below the present %d", config.Version(), store.config.Version())
+	}
+	store.config = config
+	store.answered = make(map[string]wire.Answered, len(state.Answered))
+	store.order = nil
+	for _, answered := range state.Answered {
+		store.record(answered)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tree/tree.go
@@ -0,0 +1,272 @@
+// Package tree runs a distribution core over connections: it feeds the core
+// with events and carries out its actions.
+package tree
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/link"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/internal/tasks"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// method names the notifications between nodes.
+const method = "tree"
+
+// tick is how often time passes for the core.
+const tick = 25 * time.Millisecond
+
+// Idle is the longest silence on a connection between nodes.
+const Idle = 8 * time.Second
+
+// Host is the process around the tree.
+type Host interface {
+	// Applied tells of a new configuration in force. It must not block.
+	Applied(config *rsrc.Config)
+	// Confirm asks for a quorum-confirmed version; Confirmed is to be called
+	// with the answer.
+	Confirm(id distr.LinkID)
+	// Call answers the requests that are not the tree's own.
+	Call(ctx context.Context, method string, params json.RawMessage) (any, error)
+	// Notify takes the notifications that are not the tree's own.
+	Notify(method string, params json.RawMessage)
+}
+
+// Tree is a running distribution core. It is safe for concurrent use; its
+// lock is taken after no other lock of the process.
+type Tree struct {
+	host    Host
+	options link.Options
+	log     logr.Logger
+	stats   *stats.Set
+	now     func() time.Time
+	group   *tasks.Group
+	ctx     context.Context
+
+	lock sync.Mutex
+	core *distr.Core
+	// conns and ids map the core's connections to real ones and back.
+	conns  map[distr.LinkID]*link.Conn
+	ids    map[*link.Conn]distr.LinkID
+	lastID distr.LinkID
+	// encoded caches updates, since many receivers get the same one.
+	encoded map[*rsrc.Delta][]byte
+	parent  string
+}
+
+// New returns a tree that is not running yet.
+func New(core *distr.Core, host Host, options link.Options, log logr.Logger, set *stats.Set, now func() time.Time) *Tree {
+	options.Idle = Idle
+	return &Tree{
+		host:    host,
+		options: options,
+		log:     log,
+		stats:   set,
+		now:     now,
+		group:   tasks.New(1),
+		core:    core,
+		conns:   map[distr.LinkID]*link.Conn{},
+		ids:     map[*link.Conn]distr.LinkID{},
+		encoded: map[*rsrc.Delta][]byte{},
+	}
+}
+
+// Run serves connections and lets time pass until the context ends.
+func (tree *Tree) Run(ctx context.Context, listener net.Listener) error {
+	tree.lock.Lock()
+	tree.ctx = ctx
+	tree.lock.Unlock()
+	tree.group.Go(ctx, "accept", func(ctx context.Context) error {
+		return link.Serve(ctx, listener, tree, tree.options, tree.opened)
+	})
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			tree.group.Wait()
+			return nil
+		case end := <-tree.group.Ends():
+			return end.Err
+		case <-ticker.C:
+			tree.Do(func(core *distr.Core, now time.Time) { core.Tick(now) })
+		}
+	}
+}
+
+// Do runs an event on the core and carries out what follows from it.
+func (tree *Tree) Do(event func(core *distr.Core, now time.Time)) {
+	tree.lock.Lock()
+	defer tree.lock.Unlock()
+	event(tree.core, tree.now())
+	for actions := tree.core.Take(); len(actions) > 0; actions = tree.core.Take() {
+		for _, action := range actions {
+			tree.perform(action)
+		}
+	}
+	if parent := tree.core.Parent(); parent != tree.parent {
+		tree.log.Info("parent changed", "from", tree.parent, "to", parent)
+		tree.parent = parent
+	}
+}
+
+func (tree *Tree) perform(action distr.Action) {
+	switch {
+	case action.Send != nil:
+		tree.send(action.ID, *action.Send)
+	case action.Close:
+		if conn, ok := tree.conns[action.ID]; ok {
+			tree.forget(conn)
+			conn.Finish()
+		}
+	case action.Dial != "":
+		tree.dial(action.Dial)
+	case action.Config != nil:
+		clear(tree.encoded)
+		tree.stats.Count("vp_config_applied_total", 1)
+		tree.host.Applied(action.Config)
+	case action.Refused != nil:
+		tree.stats.Count("vp_config_refused_total", 1)
+		tree.log.Error(action.Refused, "configuration refused")
+	case action.Confirm:
+		tree.host.Confirm(action.ID)
+	}
+}
+
+func (tree *Tree) send(id distr.LinkID, message distr.Message) {
+	conn, ok := tree.conns[id]
+	if !ok {
+		return
+	}
+	tree.stats.Count(fmt.Sprintf(`vp_tree_messages_total{kind=%q}`, kindOf(message)), 1)
+	conn.Notify(method, wire.FromTreeMessage(message, tree.encode(message.Update)))
+}
+
+func kindOf(message distr.Message) string {
+	switch {
+	case message.Hello != nil:
+		return "hello"
+	case message.Welcome != nil:
+		return "welcome"
+	case message.Update != nil:
+		return "update"
+	case message.Pull != nil:
+		return "pull"
+	case message.Report != nil:
+		return "report"
+	case message.Records != nil:
+		return "records"
+	case message.Digest != nil:
+		return "digest"
+	case message.Path != nil:
+		return "path"
+	default:
+		return "bye"
+	}
+}
+
+func (tree *Tree) encode(delta *rsrc.Delta) []byte {
+	if delta == nil {
+		return nil
+	}
+	data, ok := tree.encoded[delta]
+	if !ok {
+		data = wire.Must(wire.FromDelta(*delta))
+		tree.encoded[delta] = data
+	}
+	return data
+}
+
+func (tree *Tree) dial(address string) {
+	ctx := tree.ctx
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
+	err := tree.options.Pool.Submit(func() {
+		conn, err := link.Dial(ctx, address, tree, tree.options)
+		tree.Do(func(core *distr.Core, now time.Time) {
+			if err != nil || conn.Ended() {
+				tree.stats.Count("vp_tree_dial_failures_total", 1)
+				core.DialFailed(address)
+				return
+			}
+			core.LinkUp(now, tree.add(conn), address)
+		})
+	})
+	if err != nil {
+		tree.core.DialFailed(address)
+	}
+}
+
+func (tree *Tree) add(conn *link.Conn) distr.LinkID {
+	tree.lastID++
+	tree.conns[tree.lastID] = conn
+	tree.ids[conn] = tree.lastID
+	return tree.lastID
+}
+
+func (tree *Tree) forget(conn *link.Conn) {
+	delete(tree.conns, tree.ids[conn])
+	delete(tree.ids, conn)
+}
+
+func (tree *Tree) opened(conn *link.Conn) {
+	tree.Do(func(core *distr.Core, _ time.Time) { core.Accepted(tree.add(conn)) })
+}
+
+// Notify implements link.Handler.
+func (tree *Tree) Notify(conn *link.Conn, name string, params json.RawMessage) {
+	if name != method {
+		tree.host.Notify(name, params)
+		return
+	}
+	var written wire.TreeMessage
+	err := json.Unmarshal(params, &written)
+	if err != nil {
+		tree.stats.Count("vp_tree_malformed_total", 1)
+		return
+	}
+	message, err := written.Domain()
+	if err != nil {
+		tree.stats.Count("vp_tree_malformed_total", 1)
+		return
+	}
+	tree.Do(func(core *distr.Core, now time.Time) {
+		if id, ok := tree.ids[conn]; ok {
+			core.Receive(now, id, message)
+		}
+	})
+}
+
+// Call implements link.Handler.
+func (tree *Tree) Call(ctx context.Context, _ *link.Conn, name string, params json.RawMessage) (any, error) {
+	return tree.host.Call(ctx, name, params)
+}
+
+// Closed implements link.Handler.
+func (tree *Tree) Closed(conn *link.Conn) {
+	tree.Do(func(core *distr.Core, now time.Time) {
+		if id, ok := tree.ids[conn]; ok {
+			tree.forget(conn)
+			core.LinkDown(now, id)
+		}
+	})
+}
+
+// Records returns the membership the node knows, and its version.
+func (tree *Tree) Records() ([]member.Record, uint64) {
+	tree.lock.Lock()
+	defer tree.lock.Unlock()
+	return tree.core.Table().Records(), tree.core.Table().Version()
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// Removal is the written form of a removal.
+type Removal struct {
+	Key      Key    `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+// Config is the written form of a whole configuration.
+type Config struct {
+	Version   uint64     `json:"version"`
+	Floor     uint64     `json:"floor,omitempty"`
+	Resources []Resource `json:"resources"`
+	Removed   []Removal  `json:"removed,omitempty"`
+}
+
+// Delta is the written form of the changes between two versions; From zero
+// marks a full copy.
+type Delta struct {
+	From    uint64     `json:"from"`
+	To      uint64     `json:"to"`
+	Floor   uint64     `json:"floor,omitempty"`
+	Digest  uint64     `json:"digest"`
+	Put     []Resource `json:"put,omitempty"`
+	Removed []Removal  `json:"removed,omitempty"`
+}
+
+func fromRemovals(removals []rsrc.Removal) []Removal {
+	written := make([]Removal, 0, len(removals))
+	for _, removal := range removals {
+		written = append(written, Removal{Key: FromKey(removal.Key), Revision: removal.Revision})
+	}
+	return written
+}
+
+func toRemovals(written []Removal) []rsrc.Removal {
+	removals := make([]rsrc.Removal, 0, len(written))
+	for _, removal := range written {
+		removals = append(removals, rsrc.Removal{Key: removal.Key.Domain(), Revision: removal.Revision})
+	}
+	return removals
+}
+
+// FromConfig converts a configuration.
+func FromConfig(config *rsrc.Config) Config {
+	return Config{
+		Version:   config.Version(),
+		Floor:     config.Floor(),
+		Resources: fromResources(config.All()),
+		Removed:   fromRemovals(config.Removed()),
+	}
+}
+
+// Domain converts and checks a configuration.
+func (config Config) Domain() (*rsrc.Config, error) {
+	resources, err := toResources(config.Resources)
+	if err != nil {
+		return nil, err
+	}
+	return rsrc.Restore(config.Version, config.Floor, resources, toRemovals(config.Removed))
+}
+
+// FromDelta converts a delta.
+func FromDelta(delta rsrc.Delta) Delta {
+	return Delta{
+		From:    delta.From,
+		To:      delta.To,
+		Floor:   delta.Floor,
+		Digest:  delta.Digest,
+		Put:     fromResources(delta.Put),
+		Removed: fromRemovals(delta.Removed),
+	}
+}
+
+// Domain converts a delta.
+func (delta Delta) Domain() (rsrc.Delta, error) {
+	put, err := toResources(delta.Put)
+	if err != nil {
+		return rsrc.Delta{}, err
+	}
+	return rsrc.Delta{
+		From:    delta.From,
+		To:      delta.To,
+		Floor:   delta.Floor,
+		Digest:  delta.Digest,
+		Put:     put,
+		Removed: toRemovals(delta.Removed),
+	}, nil
+}
+
+// DecodeDelta reads an encoded delta.
+func DecodeDelta(data []byte) (rsrc.Delta, error) {
+	var delta Delta
+	if err := json.Unmarshal(data, &delta); err != nil {
+		return rsrc.Delta{}, err
+	}
+	return delta.Domain()
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,142 @@
+// Package client talks to the resource API of the control VMs. It tries each
+// address in turn and sends a request again with the same request id, so that
+// a lost answer never makes a write happen twice.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// Code classifies a refusal.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeInvalid     Code = "invalid"
+	CodeConflict    Code = "conflict"
+	CodeReused      Code = "requestIdReused"
+	CodeNotFound    Code = "notFound"
+	CodeUnavailable Code = "unavailable"
+	CodeUnknown     Code = "unknown"
+)
+
+// RefusalError is a refusal by the control plane. With CodeUnknown the write
+// may or may not have been accepted; sending it again with the same request
+// id tells.
+type RefusalError struct {
+	Code   Code
+	Path   string
+	Reason string
+}
+
+// Error returns path and reason.
+func (err *RefusalError) Error() string {
+	if err.Path == "" {
+		return err.Reason
+	}
+	return err.Path + ": " + err.Reason
+}
+
+type refusalBody struct {
+	Code   Code   `json:"code"`
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// Timing of the client.
+const (
+	tryTimeout   = 12 * time.Second
+	watchTimeout = 75 * time.Second
+	retryPause   = 200 * time.Millisecond
+)
+
+// Client talks to one control plane. It is safe for concurrent use.
+type Client struct {
+	addresses []string
+	http      *fasthttp.Client
+}
+
+// New returns a client for the API addresses of the control VMs.
+func New(addresses []string) *Client {
+	return &Client{addresses: addresses, http: &fasthttp.Client{MaxConnsPerHost: 64, NoDefaultUserAgentHeader: true}}
+}
+
+// Get reads from the API into result.
+func (client *Client) Get(ctx context.Context, path string, result any) error {
+	return client.do(ctx, "GET", path, nil, "", tryTimeout, result)
+}
+
+// Post writes to the API under a request id; an empty one is made here.
+func (client *Client) Post(ctx context.Context, path, requestID string, body, result any) error {
+	if requestID == "" {
+		requestID = uuid.NewString()
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return client.do(ctx, "POST", path, data, requestID, tryTimeout, result)
+}
+
+// Watch waits for changes after a version and decodes them into result. It
+// returns an empty list when nothing changed for a while.
+func (client *Client) Watch(ctx context.Context, from uint64, result any) error {
+	path := "/v1/watch?from=" + url.QueryEscape(fmt.Sprint(from))
+	return client.do(ctx, "GET", path, nil, "", watchTimeout, result)
+}
+
+// do tries the addresses until one gives a certain answer.
+func (client *Client) do(ctx context.Context, method, path string, body []byte, requestID string, timeout time.Duration, result any) error {
+	var last error
+	for i := 0; ; i++ {
+		address := client.addresses[i%len(client.addresses)]
+		last = client.try(ctx, method, address, path, body, requestID, timeout, result)
+		refusal, refused := last.(*RefusalError)
+		if last == nil || refused && refusal.Code != CodeUnavailable && refusal.Code != CodeUnknown {
+			return last
+		}
+		select {
+		case <-ctx.Done():
+			if refused {
+				return last
+			}
+			return &RefusalError{Code: CodeUnknown, Reason: fmt.Sprintf("no control VM answered: %v", last)}
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (client *Client) try(ctx context.Context, method, address, path string, body []byte, requestID string, timeout time.Duration, result any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(method)
+	if requestID != "" {
+		request.Header.Set("Vp-Request-Id", requestID)
+	}
+	request.SetBody(body)
+	until := time.Now().Add(timeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
+		until = deadline
+	}
+	if err := client.http.DoDeadline(request, response, until); err != nil {
+		return err
+	}
+	if response.StatusCode() == fasthttp.StatusOK {
+		return trace.Wrap(json.Unmarshal(response.Body(), result))
+	}
+	var refusal refusalBody
+	if err := json.Unmarshal(response.Body(), &refusal); err != nil {
+		return trace.Wrap(err, "status %d", response.StatusCode())
+	}
+	return &RefusalError{Code: refusal.Code, Path: refusal.Path, Reason: refusal.Reason}
+}
--- /dev/null
+++ b/pkg/rsrc/rollout.go
@@ -0,0 +1,166 @@
+package rsrc
+
+import (
+	"slices"
+	"time"
+)
+
+// State is a rollout's place in its life.
+type State string
+
+// The states of a rollout, in the order of a good one's life; rolledBack and
+// failed end a bad one. Watching means all traffic is on the new version and
+// the comparison with the old one goes on.
+const (
+	StateScheduled  State = "scheduled"
+	StateCanary     State = "canary"
+	StateRamping    State = "ramping"
+	StateWatching   State = "watching"
+	StateFinished   State = "finished"
+	StateRolledBack State = "rolledBack"
+	StateFailed     State = "failed"
+)
+
+var nextStates = map[State][]State{
+	StateScheduled: {StateScheduled, StateCanary, StateRolledBack, StateFailed},
+	StateCanary:    {StateCanary, StateRamping, StateWatching, StateRolledBack, StateFailed},
+	StateRamping:   {StateRamping, StateWatching, StateRolledBack, StateFailed},
+	StateWatching:  {StateFinished, StateRolledBack},
+}
+
+// Ended reports whether no further step follows.
+func (state State) Ended() bool { return len(nextStates[state]) == 0 }
+
+// MayBecome reports whether next is a legal step from state.
+func (state State) MayBecome(next State) bool {
+	return slices.Contains(nextStates[state], next)
+}
+
+// Step is one decision about a rollout.
+type Step struct {
+	State State
+	// Share is the new version's part of the route's calls, in permille.
+	Share int
+	// Cause says why the step was taken, for operators.
+	Cause string
+	At    time.Time
+}
+
+// Rollout shifts a route from one version to another by a deadline.
+type Rollout struct {
+	route    string
+	revision uint64
+	from     string
+	to       string
+	by       time.Time
+	// epoch is the revision of the write that began the rollout; local
+	// guards are tied to it.
+	epoch uint64
+	// steps holds every decision so far, oldest first, and is never empty.
+	steps []Step
+	// finished is when all traffic was on the new version, or zero.
+	finished time.Time
+}
+
+// NewRollout returns a scheduled rollout of a route.
+func NewRollout(route, from, to string, by, now time.Time) Rollout {
+	first := Step{State: StateScheduled, Cause: "accepted", At: now}
+	return Rollout{route: route, from: from, to: to, by: by, steps: []Step{first}}
+}
+
+// RestoreRollout rebuilds a rollout from its stored parts.
+func RestoreRollout(route, from, to string, by time.Time, epoch uint64, finished time.Time, steps []Step) Rollout {
+	return Rollout{route: route, from: from, to: to, by: by, epoch: epoch, finished: finished, steps: steps}
+}
+
+// RolloutKey returns the key of a route's rollout.
+func RolloutKey(route string) Key { return NewKey(KindRollout, route) }
+
+// Route returns the name of the route that is shifted.
+func (rollout Rollout) Route() string { return rollout.route }
+
+// From returns the old version.
+func (rollout Rollout) From() string { return rollout.from }
+
+// To returns the new version.
+func (rollout Rollout) To() string { return rollout.to }
+
+// By returns the deadline for all traffic to be on the new version.
+func (rollout Rollout) By() time.Time { return rollout.by }
+
+// Epoch returns the revision that began the rollout.
+func (rollout Rollout) Epoch() uint64 { return rollout.epoch }
+
+// Finished returns when all traffic was on the new version, or zero.
+func (rollout Rollout) Finished() time.Time { return rollout.finished }
+
+// Steps returns the decisions so far, oldest first.
+func (rollout Rollout) Steps() []Step { return rollout.steps }
+
+// Last returns the latest decision, or a zero Step for an invalid rollout.
+func (rollout Rollout) Last() Step {
+	if len(rollout.steps) == 0 {
+		return Step{}
+	}
+	return rollout.steps[len(rollout.steps)-1]
+}
+
+// Share returns the new version's part of the calls, in permille.
+func (rollout Rollout) Share() int { return rollout.Last().Share }
+
+// Advance returns the rollout after one more decision, or a FaultError when
+// the step is not legal from the present state.
+func (rollout Rollout) Advance(step Step) (Rollout, error) {
+	last := rollout.Last()
+	if !last.State.MayBecome(step.State) {
+		return rollout, fault(rollout.Key(), "state", "cannot go from %s to %s", last.State, step.State)
+	}
+	if step.State == StateWatching && rollout.finished.IsZero() {
+		rollout.finished = step.At
+	}
+	rollout.steps = append(slices.Clone(rollout.steps), step)
+	return rollout, nil
+}
+
+// Key returns the rollout's identity: its route's name.
+func (rollout Rollout) Key() Key { return RolloutKey(rollout.route) }
+
+// Revision returns the log index of the rollout's last step.
+func (rollout Rollout) Revision() uint64 { return rollout.revision }
+
+// WithRevision returns the rollout under another revision; the first one sets
+// the epoch.
+func (rollout Rollout) WithRevision(revision uint64) Resource {
+	rollout.revision = revision
+	if rollout.epoch == 0 {
+		rollout.epoch = revision
+	}
+	return rollout
+}
+
+func (rollout Rollout) check(config *Config) error {
+	key := rollout.Key()
+	route, ok := config.Route(rollout.route)
+	if !ok {
+		return fault(key, "route", "route %q does not exist", rollout.route)
+	}
+	if len(rollout.steps) == 0 {
+		return fault(key, "steps", "is empty")
+	}
+	last := rollout.Last()
+	if last.Share < 0 || last.Share > FullShare {
+		return fault(key, "share", "must be from 0 to %d, is %d", FullShare, last.Share)
+	}
+	if last.State.Ended() {
+		return nil
+	}
+	if rollout.from == rollout.to {
+		return fault(key, "to", "route %q already runs version %q", rollout.route, rollout.to)
+	}
+	for field, version := range map[string]string{"from": rollout.from, "to": rollout.to} {
+		if _, ok := config.UpstreamVersion(route.service, version); !ok {
+			return fault(key, field, "version %q of service %q does not exist", version, route.service)
+		}
+	}
+	return nil
+}
