A scripted test walks the whole path over real processes

Cause: the path was only tried by hand. Ruled out: fakes for the processes; the script starts the programs themselves.

--- /dev/null
+++ b/internal/cmds/script_test.go
@@ -0,0 +1,383 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"vpd":   func() { os.Exit(Main(Daemon(), os.Args)) },
+		"vpctl": func() { os.Exit(Main(Operator(), os.Args)) },
+	})
+}
+
+// TestProcesses runs the scripts of testdata/script over real processes.
+func TestProcesses(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   filepath.Join("testdata", "script"),
+		Setup: setUp,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":      cmdFleet,
+			"run":        cmdRun,
+			"signal":     cmdSignal,
+			"ended":      cmdEnded,
+			"eventually": cmdEventually,
+			"call":       cmdCall,
+			"key":        cmdKey,
+			"load":       cmdLoad,
+			"unload":     cmdUnload,
+			"damage":     cmdDamage,
+		},
+	})
+}
+
+type bench struct {
+	lock  sync.Mutex
+	procs map[string]*process
+	loads map[string]*load
+}
+
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+	log   *os.File
+}
+
+func setUp(env *testscript.Env) error {
+	held := &bench{procs: map[string]*process{}, loads: map[string]*load{}}
+	env.Values["bench"] = held
+	env.Defer(func() {
+		for _, load := range held.loads {
+			load.cancel()
+		}
+		for _, process := range held.procs {
+			_ = process.cmd.Process.Signal(syscall.SIGCONT)
+			_ = process.cmd.Process.Kill()
+			<-process.ended
+		}
+	})
+	return nil
+}
+
+func benchOf(ts *testscript.TestScript) *bench { return ts.Value("bench").(*bench) }
+
+func freePort() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// cmdFleet writes settings: fleet CONTROLS NODES [WATCH]. The files are
+// c1.json and so on; addresses are in $c1_api, $n1_callers and so on.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	controls, _ := strconv.Atoi(args[0])
+	nodes, _ := strconv.Atoi(args[1])
+	watch := "1s"
+	if len(args) > 2 {
+		watch = args[2]
+	}
+	var links, apis, nodeLinks []string
+	for range controls {
+		links, apis = append(links, freePort()), append(apis, freePort())
+	}
+	for range nodes {
+		nodeLinks = append(nodeLinks, freePort())
+	}
+	for i := range controls {
+		name := fmt.Sprintf("c%d", i+1)
+		peers := append(append([]string{}, links[:i]...), links[i+1:]...)
+		write(ts, name, map[string]any{
+			"name": name, "zone": zone(i), "data": name, "api": apis[i], "link": links[i],
+			"peers": peers, "replicas": controls, "snapshotEvery": 20,
+			"rollout": map[string]string{"dwell": "1s", "watch": watch, "cold": "1s"},
+		})
+		ts.Setenv(name+"_api", apis[i])
+	}
+	ts.Setenv("VPCTL_API", strings.Join(apis, ","))
+	for i := range nodes {
+		name := fmt.Sprintf("n%d", i+1)
+		settings := map[string]any{
+			"name": name, "zone": zone(i), "callers": freePort(), "gate": freePort(),
+			"link": nodeLinks[i], "admin": freePort(), "control": links, "seeds": nodeLinks, "grace": "5s",
+		}
+		write(ts, name, settings)
+		for _, key := range []string{"callers", "admin"} {
+			ts.Setenv(name+"_"+key, settings[key].(string))
+		}
+	}
+}
+
+func zone(i int) string { return "tx-central-" + string(rune('a'+i%3)) }
+
+func write(ts *testscript.TestScript, name string, settings map[string]any) {
+	data, err := json.Marshal(settings)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(name+".json"), data, 0o644))
+}
+
+func command(ts *testscript.TestScript, args []string) *exec.Cmd {
+	cmd := exec.Command(lookPath(ts, args[0]), args[1:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "VPCTL_API="+ts.Getenv("VPCTL_API"))
+	return cmd
+}
+
+func lookPath(ts *testscript.TestScript, name string) string {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		if path := filepath.Join(dir, name); fileExists(path) {
+			return path
+		}
+	}
+	ts.Fatalf("%s is not in PATH", name)
+	return ""
+}
+
+func fileExists(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
+// cmdRun starts a process: run NAME PROGRAM ARGS. Its log is NAME.log.
+func cmdRun(ts *testscript.TestScript, _ bool, args []string) {
+	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	ts.Check(err)
+	started := &process{cmd: command(ts, args[1:]), ended: make(chan struct{}), log: log}
+	started.cmd.Stdout, started.cmd.Stderr = log, log
+	ts.Check(started.cmd.Start())
+	go func() {
+		_ = started.cmd.Wait()
+		_ = log.Close()
+		close(started.ended)
+	}()
+	benchOf(ts).procs[args[0]] = started
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+// cmdSignal signals processes: signal KILL|STOP|CONT|TERM NAME... After KILL
+// it waits for the end.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args[1:] {
+		process := benchOf(ts).procs[name]
+		ts.Check(process.cmd.Process.Signal(signals[args[0]]))
+		if args[0] == "KILL" {
+			<-process.ended
+		}
+	}
+}
+
+// cmdEnded waits for a process's end and checks its exit code: ended NAME CODE.
+func cmdEnded(ts *testscript.TestScript, _ bool, args []string) {
+	process := benchOf(ts).procs[args[0]]
+	select {
+	case <-process.ended:
+	case <-time.After(20 * time.Second):
+		ts.Fatalf("%s has not ended", args[0])
+	}
+	if code := fmt.Sprint(process.cmd.ProcessState.ExitCode()); code != args[1] {
+		ts.Fatalf("%s ended with %s, want %s:\n%s", args[0], code, args[1], ts.ReadFile(args[0]+".log"))
+	}
+}
+
+// cmdEventually repeats a command until its output matches:
+// eventually WITHIN REGEXP PROGRAM ARGS.
+func cmdEventually(ts *testscript.TestScript, neg bool, args []string) {
+	within, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	want := regexp.MustCompile("(?s)" + args[1])
+	deadline := time.Now().Add(within)
+	for {
+		output, _ := command(ts, args[2:]).CombinedOutput()
+		if want.Match(output) != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %s: %s\n%s", within, args[1], output)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// cmdKey sets a variable to a new idempotency key: key VARIABLE.
+func cmdKey(ts *testscript.TestScript, _ bool, args []string) {
+	id, err := uuid.NewV7()
+	ts.Check(err)
+	ts.Setenv(args[0], id.String())
+}
+
+type answerSeen struct {
+	status  int
+	outcome string
+	body    string
+	err     error
+}
+
+func (seen answerSeen) String() string {
+	return fmt.Sprintf("status=%d outcome=%s body=%q err=%v", seen.status, seen.outcome, seen.body, seen.err)
+}
+
+var callers = &http.Client{Timeout: 20 * time.Second}
+
+func sendCall(ctx context.Context, address, method, path string, headers map[string]string) answerSeen {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return answerSeen{err: err}
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := callers.Do(request)
+	if err != nil {
+		return answerSeen{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answerSeen{status: response.StatusCode, outcome: response.Header.Get("Vp-Outcome"), body: string(body), err: err}
+}
+
+// cmdCall sends a call until the answer matches, or once without WITHIN:
+// call ADDRESS METHOD PATH REGEXP [within=D] [key=K] [timeout=MS] [leave=D].
+// The regular expression is matched with "status=S outcome=O body=B err=E".
+func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
+	headers, within := map[string]string{}, time.Duration(0)
+	ctx := context.Background()
+	for _, option := range args[4:] {
+		name, value, _ := strings.Cut(option, "=")
+		switch name {
+		case "within":
+			within, _ = time.ParseDuration(value)
+		case "key":
+			headers["Idempotency-Key"] = value
+		case "timeout":
+			headers["Vp-Timeout-Ms"] = value
+		case "customer":
+			headers["Vp-Customer"] = value
+		case "leave":
+			after, _ := time.ParseDuration(value)
+			bounded, cancel := context.WithTimeout(ctx, after)
+			defer cancel()
+			ctx = bounded
+		}
+	}
+	want := regexp.MustCompile("(?s)" + args[3])
+	deadline := time.Now().Add(within)
+	for {
+		seen := sendCall(ctx, args[0], args[1], args[2], headers)
+		if want.MatchString(seen.String()) != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("call %s %s: got %s, want %s", args[1], args[2], seen, args[3])
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+type load struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+	lock   sync.Mutex
+	counts map[string]int
+}
+
+func (load *load) add(seen answerSeen) {
+	load.lock.Lock()
+	defer load.lock.Unlock()
+	load.counts["all"]++
+	switch {
+	case seen.err != nil:
+		load.counts["lost"]++
+	case seen.status == http.StatusOK:
+		load.counts["good"]++
+	default:
+		load.counts["bad"]++
+	}
+}
+
+// cmdLoad sends calls until unload: load NAME PER_SECOND PATH ADDRESS...
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	rate, _ := strconv.Atoi(args[1])
+	path, addresses := args[2], args[3:]
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &load{cancel: cancel, ended: make(chan struct{}), counts: map[string]int{}}
+	benchOf(ts).loads[args[0]] = started
+	go func() {
+		defer close(started.ended)
+		var running sync.WaitGroup
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				running.Wait()
+				return
+			case <-ticker.C:
+			}
+			running.Go(func() {
+				started.add(sendCall(context.Background(), addresses[i%len(addresses)], "GET", path, nil))
+			})
+		}
+	}()
+}
+
+// cmdUnload ends a load and checks its counts: unload NAME [bad<=N] [good>=N].
+func cmdUnload(ts *testscript.TestScript, _ bool, args []string) {
+	ended := benchOf(ts).loads[args[0]]
+	ended.cancel()
+	<-ended.ended
+	ts.Logf("load %s: %v", args[0], ended.counts)
+	for _, bound := range args[1:] {
+		name, limit, atMost := strings.Cut(bound, "<=")
+		if !atMost {
+			name, limit, _ = strings.Cut(bound, ">=")
+		}
+		number, err := strconv.Atoi(limit)
+		ts.Check(err)
+		if got := ended.counts[name]; atMost && got > number || !atMost && got < number {
+			ts.Fatalf("load %s: %v, want %s", args[0], ended.counts, bound)
+		}
+	}
+}
+
+// cmdDamage changes a file: damage FILE append TEXT | flip OFFSET | cut BYTES.
+func cmdDamage(ts *testscript.TestScript, _ bool, args []string) {
+	file := ts.MkAbs(args[0])
+	data, err := os.ReadFile(file)
+	ts.Check(err)
+	switch args[1] {
+	case "append":
+		data = append(data, args[2]...)
+	case "flip":
+		offset, _ := strconv.Atoi(args[2])
+		data = bytes.Clone(data)
+		data[offset] ^= 0xff
+	case "cut":
+		count, _ := strconv.Atoi(args[2])
+		data = data[:len(data)-count]
+	}
+	ts.Check(os.WriteFile(file, data, 0o644))
+}
--- /dev/null
+++ b/internal/ctrl/request.go
@@ -0,0 +1,168 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/vanillapulley/vanillapulley/internal/raft"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// forwardRetry is the pause before a request to the leader is tried again.
+const forwardRetry = 100 * time.Millisecond
+
+// ErrUnavailable means that nothing was accepted for certain: no leader could
+// be reached, or it could not reach a quorum. The same request id may be sent
+// again.
+var ErrUnavailable = errors.New("no quorum of control VMs answered in time; send the request again with the same request id")
+
+// proposeHere runs a command if this replica leads.
+func (replica *replica) proposeHere(ctx context.Context, command wire.Command) (wire.Result, error) {
+	proposal := &proposal{data: wire.Must(command), answer: make(chan proposalAnswer, 1)}
+	if !replica.post(ctx, event{propose: proposal}) {
+		return wire.Result{}, ErrUnavailable
+	}
+	select {
+	case answer := <-proposal.answer:
+		return answer.result, answer.err
+	case <-ctx.Done():
+		return wire.Result{}, ErrUnavailable
+	}
+}
+
+// Propose runs a command on the leader, wherever it is, and waits for its
+// result. Trying again is safe, since the request id is part of the command.
+func (replica *replica) Propose(ctx context.Context, command wire.Command) (wire.Result, error) {
+	for {
+		result, err := replica.proposeOnce(ctx, command)
+		if err == nil {
+			return result, nil
+		}
+		select {
+		case <-ctx.Done():
+			return wire.Result{}, ErrUnavailable
+		case <-time.After(forwardRetry):
+		}
+	}
+}
+
+func (replica *replica) proposeOnce(ctx context.Context, command wire.Command) (wire.Result, error) {
+	if replica.leads() {
+		return replica.proposeHere(ctx, command)
+	}
+	address := replica.leader().Address
+	if address == "" {
+		return wire.Result{}, ErrUnavailable
+	}
+	var answer wire.ProposeAnswer
+	err := replica.caller.Call(ctx, address, methodPropose, command, &answer)
+	return answer.Result, err
+}
+
+// readHere asks the quorum for a fresh index if this replica leads.
+func (replica *replica) readHere(ctx context.Context) (uint64, error) {
+	reading := &reading{answer: make(chan readAnswer, 1)}
+	if !replica.post(ctx, event{read: reading}) {
+		return 0, ErrUnavailable
+	}
+	select {
+	case answer := <-reading.answer:
+		return answer.index, answer.err
+	case <-ctx.Done():
+		return 0, ErrUnavailable
+	}
+}
+
+// Fresh returns the configuration as of no earlier than the call's start,
+// confirmed by a quorum.
+func (replica *replica) Fresh(ctx context.Context) (*rsrc.Config, error) {
+	for {
+		index, err := replica.readOnce(ctx)
+		if err == nil {
+			return replica.awaitApplied(ctx, index)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ErrUnavailable
+		case <-time.After(forwardRetry):
+		}
+	}
+}
+
+func (replica *replica) readOnce(ctx context.Context) (uint64, error) {
+	if replica.leads() {
+		return replica.readHere(ctx)
+	}
+	address := replica.leader().Address
+	if address == "" {
+		return 0, ErrUnavailable
+	}
+	var answer wire.ReadAnswer
+	err := replica.caller.Call(ctx, address, methodRead, nil, &answer)
+	return answer.Index, err
+}
+
+func (replica *replica) awaitApplied(ctx context.Context, index uint64) (*rsrc.Config, error) {
+	return replica.await(ctx, func() bool { return replica.applied >= index })
+}
+
+// await returns the configuration once the condition holds; the condition is
+// checked under the lock.
+func (replica *replica) await(ctx context.Context, condition func() bool) (*rsrc.Config, error) {
+	stop := context.AfterFunc(ctx, func() {
+		replica.lock.Lock()
+		defer replica.lock.Unlock()
+		replica.changed.Broadcast()
+	})
+	defer stop()
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	for !condition() {
+		if ctx.Err() != nil {
+			return replica.store.Config(), ErrUnavailable
+		}
+		replica.changed.Wait()
+	}
+	return replica.store.Config(), nil
+}
+
+// call answers the other control VMs' requests.
+func (replica *replica) call(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case methodPropose:
+		var command wire.Command
+		if err := json.Unmarshal(params, &command); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		result, err := replica.proposeHere(ctx, command)
+		return wire.ProposeAnswer{Result: result}, err
+	case methodRead:
+		index, err := replica.readHere(ctx)
+		return wire.ReadAnswer{Index: index}, err
+	case methodJoin:
+		var request wire.JoinRequest
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		joining := &joining{member: raft.Member(request.Member), answer: make(chan wire.JoinAnswer, 1)}
+		if !replica.post(ctx, event{join: joining}) {
+			return nil, ErrUnavailable
+		}
+		return <-joining.answer, nil
+	default:
+		return nil, trace.NotFound("method %q is unknown", method)
+	}
+}
+
+// known reports whether a request id has a recorded answer here.
+func (replica *replica) known(requestID string) bool {
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	_, ok := replica.store.Answer(requestID)
+	return ok
+}
