--- a/internal/cmds/vpctl.go
+++ b/internal/cmds/vpctl.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/urfave/cli/v2"
+	"github.com/urfave/cli/v3"
 
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
@@ -28,22 +28,22 @@
    the same --request-id   6 the rollout was rolled back or failed`
 
 // Operator returns the command line of vpctl.
-func Operator() *cli.App {
-	return &cli.App{
+func Operator() *cli.Command {
+	return &cli.Command{
 		Name:            "vpctl",
 		Usage:           "write, read and watch the resources of vanillapulley",
 		Version:         Version,
 		HideHelpCommand: true,
 		Description:     exitCodesHelp,
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "api", Value: cli.NewStringSlice(defaultAPI), EnvVars: []string{"VPCTL_API"}, Usage: "the API `ADDRESS` of a control VM; may be given for each"},
+			&cli.StringSliceFlag{Name: "api", Value: []string{defaultAPI}, Sources: cli.EnvVars("VPCTL_API"), Usage: "the API `ADDRESS` of a control VM; may be given for each"},
 			&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "how long to try"},
 		},
 		Commands: []*cli.Command{
 			applyCommand(), getCommand(), watchCommand(), rolloutCommand(),
 			rollbackCommand(), membersCommand(), statusCommand(), checkCommand(),
 		},
-		ExitErrHandler: func(*cli.Context, error) {},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 }
 
@@ -55,22 +55,22 @@
 	return &cli.StringFlag{Name: "request-id", Usage: "the `ID` of this request; a resend with the same one gets the first answer"}
 }
 
-func connect(c *cli.Context) (*client.Client, context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(c.Context, c.Duration("timeout"))
+func connect(parent context.Context, c *cli.Command) (*client.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, c.Duration("timeout"))
 	return client.New(c.StringSlice("api")), ctx, cancel
 }
 
-func printJSON(c *cli.Context, value any) error {
-	encoder := json.NewEncoder(c.App.Writer)
+func printJSON(c *cli.Command, value any) error {
+	encoder := json.NewEncoder(c.Root().Writer)
 	encoder.SetIndent("", "  ")
 	return trace.Wrap(encoder.Encode(value))
 }
 
-func wantsJSON(c *cli.Context) bool { return c.String("output") == "json" }
+func wantsJSON(c *cli.Command) bool { return c.String("output") == "json" }
 
 // table prints rows of tab-separated columns.
-func table(c *cli.Context, rows []string) error {
-	writer := tabwriter.NewWriter(c.App.Writer, 0, 4, 2, ' ', 0)
+func table(c *cli.Command, rows []string) error {
+	writer := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
 	for _, row := range rows {
 		_, _ = fmt.Fprintln(writer, row)
 	}
@@ -109,26 +109,28 @@
 			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE` of resources"},
 			requestFlag(), outputFlag(),
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			resources, err := readResources(c.String("file"))
 			if err != nil {
 				return err
 			}
-			api, ctx, cancel := connect(c)
+			content := wire.Must(resources)
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			var present wire.ResourceList
-			if err := api.Get(ctx, "/v1/resources", &present); err != nil {
+			if err := api.Get(bounded, "/v1/resources", &present); err != nil {
 				return err
 			}
 			body := wire.ApplyRequest{Resources: withRevisions(resources, present)}
 			var result wire.Result
-			if err := api.Post(ctx, "/v1/apply", c.String("request-id"), body, &result); err != nil {
+			identity := client.Request{ID: c.String("request-id"), Content: string(content)}
+			if err := api.Post(bounded, "/v1/apply", identity, body, &result); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
 				return printJSON(c, result)
 			}
-			_, _ = fmt.Fprintf(c.App.Writer, "accepted %d resources as version %d\n", len(resources), result.Version)
+			_, _ = fmt.Fprintf(c.Root().Writer, "accepted %d resources as version %d\n", len(resources), result.Version)
 			return nil
 		},
 	}
@@ -156,15 +158,15 @@
 		ArgsUsage:   "[KIND [NAME]]",
 		Description: "Examples: vpctl get; vpctl get route; vpctl get -o json rollout timetable",
 		Flags:       []cli.Flag{outputFlag()},
-		Action: func(c *cli.Context) error {
-			api, ctx, cancel := connect(c)
+		Action: func(ctx context.Context, c *cli.Command) error {
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			path := "/v1/resources"
 			for _, argument := range c.Args().Slice() {
 				path += "/" + argument
 			}
 			var list wire.ResourceList
-			if err := api.Get(ctx, path, &list); err != nil {
+			if err := api.Get(bounded, path, &list); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
@@ -219,18 +221,18 @@
 			&cli.Uint64Flag{Name: "from", Usage: "the `VERSION` after which to start"},
 			outputFlag(),
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			api := client.New(c.StringSlice("api"))
-			return follow(c, api, c.Uint64("from"), c.Args().First())
+			return follow(ctx, c, api, c.Uint64("from"), c.Args().First())
 		},
 	}
 }
 
 // follow prints changes; with a route it ends with the route's rollout.
-func follow(c *cli.Context, api *client.Client, from uint64, route string) error {
+func follow(ctx context.Context, c *cli.Command, api *client.Client, from uint64, route string) error {
 	for {
 		var list wire.ResourceList
-		if err := api.Watch(c.Context, from, &list); err != nil {
+		if err := api.Watch(ctx, from, &list); err != nil {
 			return err
 		}
 		from = max(from, list.Version)
@@ -248,15 +250,15 @@
 	}
 }
 
-func printChange(c *cli.Context, resource wire.Resource) error {
+func printChange(c *cli.Command, resource wire.Resource) error {
 	if wantsJSON(c) {
-		return trace.Wrap(json.NewEncoder(c.App.Writer).Encode(resource))
+		return trace.Wrap(json.NewEncoder(c.Root().Writer).Encode(resource))
 	}
 	line, ok := rolloutLine(resource)
 	if !ok {
 		line = string(resource.Spec)
 	}
-	_, err := fmt.Fprintf(c.App.Writer, "%d %s/%s %s\n", resource.Revision, resource.Kind, resource.Name, line)
+	_, err := fmt.Fprintf(c.Root().Writer, "%d %s/%s %s\n", resource.Revision, resource.Kind, resource.Name, line)
 	return trace.Wrap(err)
 }
 
@@ -279,7 +281,7 @@
 			&cli.BoolFlag{Name: "wait", Usage: "show the progress until the rollout has ended"},
 			requestFlag(), outputFlag(),
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			route, err := oneArgument(c, "ROUTE")
 			if err != nil {
 				return err
@@ -288,11 +290,12 @@
 			if err != nil {
 				return err
 			}
-			api, ctx, cancel := connect(c)
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			var result wire.Result
 			body := wire.RolloutRequest{Route: route, To: c.String("to"), By: by}
-			if err := api.Post(ctx, "/v1/rollouts", c.String("request-id"), body, &result); err != nil {
+			identity := client.Request{ID: c.String("request-id"), Content: strings.Join([]string{route, body.To, c.String("by")}, " ")}
+			if err := api.Post(bounded, "/v1/rollouts", identity, body, &result); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
@@ -300,19 +303,19 @@
 					return err
 				}
 			} else {
-				_, _ = fmt.Fprintf(c.App.Writer, "accepted as version %d, due %s\n", result.Version, by.Format(time.RFC3339))
+				_, _ = fmt.Fprintf(c.Root().Writer, "accepted as version %d, due %s\n", result.Version, by.Format(time.RFC3339))
 			}
 			if !c.Bool("wait") {
 				return nil
 			}
-			return follow(c, api, result.Version-1, route)
+			return follow(ctx, c, api, result.Version-1, route)
 		},
 	}
 }
 
 // oneArgument returns the only argument. Flags after it are refused rather
 // than taken for more arguments.
-func oneArgument(c *cli.Context, name string) (string, error) {
+func oneArgument(c *cli.Command, name string) (string, error) {
 	if c.NArg() != 1 {
 		return "", trace.BadParameter("give exactly one %s", name)
 	}
@@ -348,22 +351,22 @@
 			&cli.StringFlag{Name: "cause", Usage: "why, for those who watch"},
 			requestFlag(), outputFlag(),
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			route, err := oneArgument(c, "ROUTE")
 			if err != nil {
 				return err
 			}
-			api, ctx, cancel := connect(c)
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			var result wire.Result
 			body := wire.RollbackRequest{Route: route, Cause: c.String("cause")}
-			if err := api.Post(ctx, "/v1/rollbacks", c.String("request-id"), body, &result); err != nil {
+			if err := api.Post(bounded, "/v1/rollbacks", client.Request{ID: c.String("request-id")}, body, &result); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
 				return printJSON(c, result)
 			}
-			_, _ = fmt.Fprintf(c.App.Writer, "rolled back as version %d\n", result.Version)
+			_, _ = fmt.Fprintf(c.Root().Writer, "rolled back as version %d\n", result.Version)
 			return nil
 		},
 	}
@@ -374,11 +377,11 @@
 		Name:  "members",
 		Usage: "list the nodes and what is beside them",
 		Flags: []cli.Flag{outputFlag()},
-		Action: func(c *cli.Context) error {
-			api, ctx, cancel := connect(c)
+		Action: func(ctx context.Context, c *cli.Command) error {
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			var list wire.MemberList
-			if err := api.Get(ctx, "/v1/members", &list); err != nil {
+			if err := api.Get(bounded, "/v1/members", &list); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
@@ -398,11 +401,11 @@
 		Name:  "status",
 		Usage: "tell who leads, which version is accepted and which is in force everywhere",
 		Flags: []cli.Flag{outputFlag()},
-		Action: func(c *cli.Context) error {
-			api, ctx, cancel := connect(c)
+		Action: func(ctx context.Context, c *cli.Command) error {
+			api, bounded, cancel := connect(ctx, c)
 			defer cancel()
 			var status wire.Status
-			if err := api.Get(ctx, "/v1/status", &status); err != nil {
+			if err := api.Get(bounded, "/v1/status", &status); err != nil {
 				return err
 			}
 			if wantsJSON(c) {
@@ -435,7 +438,7 @@
 			&cli.StringSliceFlag{Name: "node", Usage: "a node's settings `FILE`"},
 			&cli.StringSliceFlag{Name: "resources", Usage: "a `FILE` of resources that stands alone"},
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			var checked []string
 			for _, file := range c.StringSlice("control") {
 				if _, err := config.ReadControl(file); err != nil {
@@ -458,7 +461,7 @@
 			if len(checked) == 0 {
 				return trace.BadParameter("name something to check: --control, --node or --resources")
 			}
-			_, _ = fmt.Fprintf(c.App.Writer, "good: %s\n", strings.Join(checked, ", "))
+			_, _ = fmt.Fprintf(c.Root().Writer, "good: %s\n", strings.Join(checked, ", "))
 			return nil
 		},
 	}
--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -10,7 +10,7 @@
 	"os/signal"
 	"time"
 
-	"github.com/urfave/cli/v2"
+	"github.com/urfave/cli/v3"
 	"golang.org/x/sys/unix"
 
 	"github.com/vanillapulley/vanillapulley/internal/config"
@@ -25,22 +25,22 @@
 const Version = "0.1.0"
 
 // Daemon returns the command line of vpd.
-func Daemon() *cli.App {
-	return &cli.App{
+func Daemon() *cli.Command {
+	return &cli.Command{
 		Name:            "vpd",
 		Usage:           "the daemons of vanillapulley",
 		Version:         Version,
 		HideHelpCommand: true,
 		Commands:        []*cli.Command{controlCommand(), nodeCommand(), upstreamCommand(), demoCommand()},
-		ExitErrHandler:  func(*cli.Context, error) {},
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
 	}
 }
 
 // Main runs a program and returns its exit code.
-func Main(app *cli.App, args []string) int {
+func Main(app *cli.Command, args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, unix.SIGTERM)
 	defer stop()
-	err := app.RunContext(ctx, args)
+	err := app.Run(ctx, args)
 	if err == nil {
 		return exitOK
 	}
@@ -62,7 +62,7 @@
 			settingsFlag(),
 			&cli.BoolFlag{Name: "init", Usage: "make a new control plane in an empty data folder; only on the first control VM, once"},
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			settings, err := config.ReadControl(c.String("settings"))
 			if err != nil {
 				return err
@@ -74,15 +74,15 @@
 			}
 			control, err := ctrl.New(ctrl.Deps{
 				Settings: settings,
-				Logs:     logs.New(c.App.ErrWriter, settings.Log),
+				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
 				Stats:    stats.New(),
 				Now:      time.Now,
-				Random:   newRandom(),
+				Random:   newRandom,
 			})
 			if err != nil {
 				return err
 			}
-			return named(control.Run(c.Context), c.String("settings"), "")
+			return named(control.Run(ctx), c.String("settings"), "")
 		},
 	}
 }
@@ -92,22 +92,22 @@
 		Name:  "node",
 		Usage: "run the node beside an upstream",
 		Flags: []cli.Flag{settingsFlag()},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			settings, err := config.ReadNode(c.String("settings"))
 			if err != nil {
 				return err
 			}
 			running, err := node.New(node.Deps{
 				Settings: settings,
-				Logs:     logs.New(c.App.ErrWriter, settings.Log),
+				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
 				Stats:    stats.New(),
 				Now:      time.Now,
-				Random:   newRandom(),
+				Random:   newRandom,
 			})
 			if err != nil {
 				return err
 			}
-			return named(running.Run(c.Context), c.String("settings"), "")
+			return named(running.Run(ctx), c.String("settings"), "")
 		},
 	}
 }
@@ -139,7 +139,7 @@
 			&cli.DurationFlag{Name: "delay", Usage: "how long each call takes"},
 			&cli.DurationFlag{Name: "ttl", Value: 3 * time.Second, Usage: "how long an announcement holds"},
 		},
-		Action: func(c *cli.Context) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
 			return sample.New(sample.Settings{
 				Service:      c.String("service"),
 				Version:      c.String("version"),
@@ -151,7 +151,7 @@
 				TTL:          c.Duration("ttl"),
 				Now:          time.Now,
 				Random:       newRandom(),
-			}).Run(c.Context)
+			}).Run(ctx)
 		},
 	}
 }
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,8 +19,13 @@
 )
 
 // HeaderRequestID carries the operator's request id; a resend with the same
-// id gets the first answer.
-const HeaderRequestID = "Vp-Request-Id"
+// id gets the first answer. HeaderContent may carry a hash of what the
+// operator meant, for clients that add revisions of their own; without it the
+// body is hashed.
+const (
+	HeaderRequestID = "Vp-Request-Id"
+	HeaderContent   = "Vp-Request-Content"
+)
 
 // Bounds of the API.
 const (
@@ -86,8 +92,14 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	content := xxhash.Sum64(append(request.Path(), request.PostBody()...))
-	return wire.Command{RequestID: id, Content: content, At: control.now().UTC()}
+	meant := request.Request.Header.Peek(HeaderContent)
+	if len(meant) == 0 {
+		meant = request.PostBody()
+	}
+	hash := xxhash.New()
+	_, _ = hash.Write(request.Path())
+	_, _ = hash.Write(meant)
+	return wire.Command{RequestID: id, Content: hash.Sum64(), At: control.now().UTC()}
 }
 
 // answered replies with the recorded answer of an earlier request with the
@@ -137,6 +149,9 @@
 		return
 	}
 	command := control.command(request)
+	if control.answered(ctx, request, command) {
+		return
+	}
 	for _, resource := range body.Resources {
 		if !writableKinds[resource.Kind] {
 			invalid(request, &rsrc.FaultError{Path: resource.Kind + "/" + resource.Name, Reason: "only service, version and route can be applied"})
@@ -330,6 +345,7 @@
 		Version:  control.replica.config().Version(),
 		Replicas: wire.FromMembers(view.members),
 	}
+	slices.SortFunc(status.Replicas, func(a, b wire.Member) int { return strings.Compare(a.Name+a.ID, b.Name+b.ID) })
 	control.tree.Do(func(core *distr.Core, _ time.Time) {
 		report := core.Subtree()
 		status.InForce, status.Nodes, status.Children = report.Version, report.Count, core.Children()
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -45,7 +45,8 @@
 	Logs     *logs.Factory
 	Stats    *stats.Set
 	Now      func() time.Time
-	Random   *rand.Rand
+	// Random makes a source of random numbers; each core gets its own.
+	Random func() *rand.Rand
 }
 
 // Control is the daemon of one control VM.
@@ -143,7 +144,7 @@
 		JoinsPerSecond: joinsPerSecond,
 		Timing:         distr.DefaultTiming(),
 		Members:        member.DefaultTiming(),
-	}, control.deps.Random, control.now())
+	}, control.deps.Random(), control.now())
 	control.tree = tree.New(core, control, control.options(), control.logs.Layer("distr"), control.stats, control.now)
 	control.rollouts = newRollouts(control)
 	control.applied(replica.config())
--- a/internal/ctrl/replica.go
+++ b/internal/ctrl/replica.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	core, err := raft.New(folder.Identity().ID, durable, raft.DefaultTiming(), deps.Random, deps.Now())
+	core, err := raft.New(folder.Identity().ID, durable, raft.DefaultTiming(), deps.Random(), deps.Now())
 	if err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -61,6 +61,7 @@
 	observations map[observationKey]*Observation
 	lastReport   Report
 	reportAt     time.Time
+	observeAt    time.Time
 	compareAt    time.Time
 	flushAt      time.Time
 
--- a/internal/distr/report.go
+++ b/internal/distr/report.go
@@ -71,10 +71,12 @@
 	}
 	report := core.Subtree()
 	urgent := report.Version != core.lastReport.Version
-	if !urgent && now.Before(core.reportAt) {
+	observed := len(core.observations) > 0 && !now.Before(core.observeAt)
+	if !urgent && !observed && now.Before(core.reportAt) {
 		return
 	}
 	core.reportAt = now.Add(core.settings.Timing.Report)
+	core.observeAt = now.Add(core.settings.Timing.Observe)
 	core.lastReport = report
 	report.Observations = core.TakeObservations()
 	core.send(core.parent, Message{Report: &report})
--- a/internal/distr/types.go
+++ b/internal/distr/types.go
@@ -180,6 +180,8 @@
 type Timing struct {
 	// Report is the longest pause between reports to the parent.
 	Report time.Duration
+	// Observe is the longest pause between reports that carry observations.
+	Observe time.Duration
 	// Compare is the pause between comparisons on lateral connections.
 	Compare time.Duration
 	// Retry is the mean backoff before another try to find a parent.
@@ -195,6 +197,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Report:   2 * time.Second,
+		Observe:  400 * time.Millisecond,
 		Compare:  2 * time.Second,
 		Retry:    300 * time.Millisecond,
 		RetryMax: 5 * time.Second,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,8 @@
 	Logs     *logs.Factory
 	Stats    *stats.Set
 	Now      func() time.Time
-	Random   *rand.Rand
+	// Random makes a source of random numbers; each core gets its own.
+	Random func() *rand.Rand
 }
 
 // Node is the daemon of one node. Lock order: gate.lock or claims.lock, then
@@ -93,6 +94,7 @@
 		return nil, trace.Wrap(err)
 	}
 	started := deps.Now()
+	random := deps.Random()
 	node := &Node{
 		settings:    deps.Settings,
 		now:         deps.Now,
@@ -103,9 +105,9 @@
 		pool:        pool,
 		traffic:     &link.Traffic{},
 		pools:       proxy.New(proxy.DefaultSettings(), deps.Now),
-		random:      deps.Random,
-		picker:      picker.New(deps.Settings.Zone, deps.Random),
-		budget:      retry.New(retry.DefaultSettings(), deps.Random),
+		random:      random,
+		picker:      picker.New(deps.Settings.Zone, random),
+		budget:      retry.New(retry.DefaultSettings(), random),
 	}
 	node.gate = newGate(node)
 	node.claims = newClaims(node, started)
@@ -120,7 +122,7 @@
 		MaxLaterals: maxLaterals,
 		Timing:      distr.DefaultTiming(),
 		Members:     member.DefaultTiming(),
-	}, rand.New(rand.NewPCG(deps.Random.Uint64(), deps.Random.Uint64())), started)
+	}, deps.Random(), started)
 	node.tree = tree.New(core, node, node.options(), deps.Logs.Layer("distr"), deps.Stats, deps.Now)
 	return node, nil
 }
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -41,7 +41,8 @@
 // Upstream is a running stand-in.
 type Upstream struct {
 	settings Settings
-	lock     sync.Mutex
+	// lock guards orders and the settings' random source.
+	lock sync.Mutex
 	// orders counts how often each idempotency key was run.
 	orders   map[string]int
 	calls    atomic.Int64
@@ -154,7 +155,7 @@
 		upstream.canceled.Add(1)
 		return
 	}
-	if upstream.settings.Random.IntN(1000) < upstream.settings.FailPermille {
+	if upstream.fails() {
 		request.SetStatusCode(fasthttp.StatusInternalServerError)
 		request.SetBodyString("the upstream failed\n")
 		return
@@ -162,6 +163,12 @@
 	request.SetBodyString(fmt.Sprintf("%s %s %s %s\n", upstream.settings.Service, upstream.settings.Version, request.Method(), request.Path()))
 }
 
+func (upstream *Upstream) fails() bool {
+	upstream.lock.Lock()
+	defer upstream.lock.Unlock()
+	return upstream.settings.Random.IntN(1000) < upstream.settings.FailPermille
+}
+
 // work takes the delay and reports false when the caller left meanwhile.
 func (upstream *Upstream) work(request *fasthttp.RequestCtx) bool {
 	if upstream.settings.Delay == 0 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -112,7 +112,7 @@
 func refusal(err error) wire.Result {
 	var conflict *rsrc.ConflictError
 	if errors.As(err, &conflict) {
-		return wire.Result{Code: wire.CodeConflict, Path: conflict.Key.String(), Reason: err.Error()}
+		return wire.Result{Code: wire.CodeConflict, Path: conflict.Key.String(), Reason: conflict.Reason()}
 	}
 	var fault *rsrc.FaultError
 	if errors.As(err, &fault) {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -71,34 +71,43 @@
 
 // Get reads from the API into result.
 func (client *Client) Get(ctx context.Context, path string, result any) error {
-	return client.do(ctx, "GET", path, nil, "", tryTimeout, result)
+	return client.do(ctx, "GET", path, nil, Request{}, tryTimeout, result)
 }
 
-// Post writes to the API under a request id; an empty one is made here.
-func (client *Client) Post(ctx context.Context, path, requestID string, body, result any) error {
-	if requestID == "" {
-		requestID = uuid.NewString()
+// Request identifies a write. A resend with the same ID gets the first answer
+// if it means the same.
+type Request struct {
+	// ID is made by the client when it is empty.
+	ID string
+	// Content stands for what is meant; empty for the body itself.
+	Content string
+}
+
+// Post writes to the API.
+func (client *Client) Post(ctx context.Context, path string, identity Request, body, result any) error {
+	if identity.ID == "" {
+		identity.ID = uuid.NewString()
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return client.do(ctx, "POST", path, data, requestID, tryTimeout, result)
+	return client.do(ctx, "POST", path, data, identity, tryTimeout, result)
 }
 
 // Watch waits for changes after a version and decodes them into result. It
 // returns an empty list when nothing changed for a while.
 func (client *Client) Watch(ctx context.Context, from uint64, result any) error {
 	path := "/v1/watch?from=" + url.QueryEscape(fmt.Sprint(from))
-	return client.do(ctx, "GET", path, nil, "", watchTimeout, result)
+	return client.do(ctx, "GET", path, nil, Request{}, watchTimeout, result)
 }
 
 // do tries the addresses until one gives a certain answer.
-func (client *Client) do(ctx context.Context, method, path string, body []byte, requestID string, timeout time.Duration, result any) error {
+func (client *Client) do(ctx context.Context, method, path string, body []byte, identity Request, timeout time.Duration, result any) error {
 	var last error
 	for i := 0; ; i++ {
 		address := client.addresses[i%len(client.addresses)]
-		last = client.try(ctx, method, address, path, body, requestID, timeout, result)
+		last = client.try(ctx, method, address, path, body, identity, timeout, result)
 		refusal, refused := last.(*RefusalError)
 		if last == nil || refused && refusal.Code != CodeUnavailable && refusal.Code != CodeUnknown {
 			return last
@@ -114,14 +123,17 @@
 	}
 }
 
-func (client *Client) try(ctx context.Context, method, address, path string, body []byte, requestID string, timeout time.Duration, result any) error {
+func (client *Client) try(ctx context.Context, method, address, path string, body []byte, identity Request, timeout time.Duration, result any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + path)
 	request.Header.SetMethod(method)
-	if requestID != "" {
-		request.Header.Set("Vp-Request-Id", requestID)
+	if identity.ID != "" {
+		request.Header.Set("Vp-Request-Id", identity.ID)
+	}
+	if identity.Content != "" {
+		request.Header.Set("Vp-Request-Content", identity.Content)
 	}
 	request.SetBody(body)
 	until := time.Now().Add(timeout)
--- a/pkg/rsrc/rsrc.go
+++ b/pkg/rsrc/rsrc.go
@@ -79,11 +79,14 @@
 	Current  uint64
 }
 
-// Error names the resource and both revisions.
-func (err *ConflictError) Error() string {
-	return fmt.Sprintf("%s: conflict: the write expects revision %d, the current one is %d", err.Key, err.Expected, err.Current)
+// Reason names both revisions.
+func (err *ConflictError) Reason() string {
+	return fmt.Sprintf("conflict: the write expects revision %d, the current one is %d", err.Expected, err.Current)
 }
 
+// Error names the resource and both revisions.
+func (err *ConflictError) Error() string { return err.Key.String() + ": " + err.Reason() }
+
 func fault(key Key, field, format string, args ...any) error {
 	path := key.String()
 	if field != "" {
