--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -94,6 +94,7 @@
 	rate float64
 	// latency is the mean time of an answer.
 	latency   time.Duration
+	started   time.Time
 	last      time.Time
 	stepped   time.Time
 	firstCall time.Time
@@ -114,6 +115,7 @@
 		weight:   weight,
 		evidence: NewEvidence(),
 		clear:    &clearance{margin: weight.Margin},
+		started:  now,
 		last:     now,
 		stepped:  now,
 	}
@@ -161,7 +163,9 @@
 	controller.last = now
 	calls := input.Before.Calls + input.After.Calls
 	if elapsed > 0 {
-		weight := min(1, elapsed/rateWindow.Seconds())
+		// The average covers the time since the start until that is a window.
+		span := min(rateWindow.Seconds(), now.Sub(controller.started).Seconds())
+		weight := min(1, elapsed/span)
 		controller.rate += (float64(calls)/elapsed - controller.rate) * weight
 	}
 	if input.After.Calls > 0 && controller.firstCall.IsZero() {
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/vanillapulley/vanillapulley/internal/distr"
 )
@@ -57,11 +58,22 @@
 // NewEvidence returns evidence without any calls.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		errors: newProcess(0.01, 0.04, 0.15, 0.5, 0.9),
-		slow:   newProcess(0.08, 0.25, 0.6, 0.9),
+		errors: newProcess(maxErrorGain, 0.01, 0.04, 0.15, 0.5, 0.9),
+		slow:   newProcess(maxSlowGain, 0.08, 0.25, 0.6, 0.9),
 	}
 }
 
+// The bounds of one block's gain: errors need three blocks at least, slow
+// answers, which come in bursts more easily, eight.
+var (
+	maxErrorGain = math.Log(50)
+	maxSlowGain  = math.Log(4)
+)
+
+// slowTolerance is how many latency classes above the old version's slow
+// answers the new one's begin; targets of one version differ that much.
+const slowTolerance = 2
+
 // slowBound returns the highest latency class that is not slow, and false
 // while the old version has too few answers to say.
 func (evidence *Evidence) slowBound() (int, bool) {
@@ -71,7 +83,7 @@
 	}
 	for bucket := range distr.LatencyBuckets - 1 {
 		if float64(evidence.oldTotal.slowerThan(bucket)) <= slowFraction*float64(total) {
-			return bucket, true
+			return min(bucket+slowTolerance, distr.LatencyBuckets-1), true
 		}
 	}
 	return 0, false
--- a/internal/canary/process.go
+++ b/internal/canary/process.go
@@ -25,8 +25,14 @@
 // The bet on one block is the safe test for two proportions of Turner, Ly and
 // Grünwald (2021): the likelihood of the bet over that of the nearest pair of
 // rates with no excess.
+//
+// Failures of one block may share a cause that has nothing to do with the
+// version, such as a pause of one VM. Each block's gain is therefore bounded;
+// a bounded bet is still a supermartingale, so the chance above still holds.
 type process struct {
 	excesses []float64
+	// maxGain bounds the logarithm of one block's factor.
+	maxGain float64
 	// logs holds the logarithm of each running bet's capital, one row for
 	// each start.
 	logs [][]float64
@@ -43,8 +49,8 @@
 	maxRate       = 0.98
 )
 
-func newProcess(excesses ...float64) *process {
-	process := &process{excesses: excesses}
+func newProcess(maxGain float64, excesses ...float64) *process {
+	process := &process{maxGain: maxGain, excesses: excesses}
 	process.restart()
 	return process
 }
@@ -69,10 +75,7 @@
 func (process *process) add(block sample) {
 	oldRate := process.baseline()
 	for i, excess := range process.excesses {
-		growth := blockGrowth(block, oldRate, min(maxRate, oldRate+excess))
-		for _, row := range process.logs {
-			row[i] += growth
-		}
+		process.grow(i, blockGrowth(block, oldRate, min(maxRate, oldRate+excess)))
 	}
 	process.learn(block.oldFailures, block.oldTrials)
 }
@@ -93,10 +96,14 @@
 func (process *process) addAlone(failures, trials int) {
 	bound := process.upperBound()
 	for i, excess := range process.excesses {
-		growth := logRatio(failures, trials, min(maxRate, bound+excess), bound)
-		for _, row := range process.logs {
-			row[i] += growth
-		}
+		process.grow(i, logRatio(failures, trials, min(maxRate, bound+excess), bound))
+	}
+}
+
+// grow adds one block's growth to every running bet on an excess.
+func (process *process) grow(excess int, growth float64) {
+	for _, row := range process.logs {
+		row[excess] += min(growth, process.maxGain)
 	}
 }
 
--- a/internal/dedup/tally.go
+++ b/internal/dedup/tally.go
@@ -36,15 +36,21 @@
 
 // Won reports whether a majority of the witnesses of every placement has
 // granted the claim.
-func (poll *Poll) Won() bool {
+func (poll *Poll) Won() bool { return poll.majority(Granted) }
+
+// Unclaimed reports whether a majority of the witnesses of every placement
+// knows of no claim, so that no attempt has ever won one.
+func (poll *Poll) Unclaimed() bool { return poll.majority(Free) }
+
+func (poll *Poll) majority(grade Grade) bool {
 	for _, placement := range poll.placements {
-		granted := 0
+		count := 0
 		for _, node := range placement {
-			if answer, ok := poll.answers[node]; ok && answer.Grade == Granted {
-				granted++
+			if answer, ok := poll.answers[node]; ok && answer.Grade == grade {
+				count++
 			}
 		}
-		if granted <= len(placement)/2 {
+		if count <= len(placement)/2 {
 			return false
 		}
 	}
@@ -62,7 +68,7 @@
 }
 
 // Decided reports whether further answers cannot change the outcome for the
-// worse: the poll is won, or every witness has answered.
+// worse: the poll has a majority, or every witness has answered.
 func (poll *Poll) Decided() bool {
-	return poll.Won() || len(poll.answers) >= len(poll.Witnesses())
+	return poll.Won() || poll.Unclaimed() || len(poll.answers) >= len(poll.Witnesses())
 }
--- a/internal/dedup/witness.go
+++ b/internal/dedup/witness.go
@@ -17,6 +17,8 @@
 	// Abstained means that the witness may have forgotten, or is full; its
 	// answer counts for nothing.
 	Abstained
+	// Free means that the witness knows of no claim and would have kept one.
+	Free
 )
 
 // Attempt names one try to run a call: the node, its start and a number.
@@ -57,19 +59,31 @@
 // Claim asks for a key on behalf of an attempt. Asking again with the same
 // attempt gives the same answer.
 func (witness *Witness) Claim(now time.Time, key Key, attempt Attempt) Answer {
+	answer := witness.Look(now, key)
+	if answer.Grade == Held && answer.Holder == attempt {
+		return Answer{Grade: Granted, Holder: attempt}
+	}
+	if answer.Grade != Free {
+		return answer
+	}
+	if len(witness.claims) >= MaxClaims {
+		return Answer{Grade: Abstained}
+	}
+	witness.claims[key.id] = claim{holder: attempt, issued: key.issued}
+	return Answer{Grade: Granted, Holder: attempt}
+}
+
+// Look tells who holds a key without asking for it.
+func (witness *Witness) Look(now time.Time, key Key) Answer {
 	witness.sweep(now)
 	if held, ok := witness.claims[key.id]; ok {
-		if held.holder == attempt {
-			return Answer{Grade: Granted, Holder: attempt}
-		}
 		return Answer{Grade: Held, Holder: held.holder}
 	}
 	forgotten := key.issued.Before(witness.started.Add(Skew))
-	if forgotten || key.Expired(now) || len(witness.claims) >= MaxClaims {
+	if forgotten || key.Expired(now) {
 		return Answer{Grade: Abstained}
 	}
-	witness.claims[key.id] = claim{holder: attempt, issued: key.issued}
-	return Answer{Grade: Granted, Holder: attempt}
+	return Answer{Grade: Free}
 }
 
 // Release gives a claim back whose attempt did not and will not run.
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -23,6 +23,7 @@
 // The methods between nodes about keyed calls.
 const (
 	methodClaim   = "claim"
+	methodLook    = "look"
 	methodRelease = "release"
 	methodRecall  = "recall"
 )
@@ -173,7 +174,7 @@
 // is known.
 func (claims *claims) claim(ctx context.Context, key dedup.Key, attempt dedup.Attempt) (dedup.Outcome, bool) {
 	for try := range claimTries {
-		poll := claims.poll(ctx, key, attempt)
+		poll := claims.poll(ctx, methodClaim, key, attempt)
 		if poll == nil {
 			return dedup.Outcome{Kind: dedup.NotRun, Reason: "no witnesses are placed yet"}, false
 		}
@@ -245,7 +246,7 @@
 
 // poll asks all of the key's witnesses at once and returns when the answers
 // decide. It returns nil while no witnesses are placed.
-func (claims *claims) poll(ctx context.Context, key dedup.Key, attempt dedup.Attempt) *dedup.Poll {
+func (claims *claims) poll(ctx context.Context, method string, key dedup.Key, attempt dedup.Attempt) *dedup.Poll {
 	claims.lock.Lock()
 	placed := len(claims.placements) > 0
 	poll := dedup.NewPoll(key, claims.placements)
@@ -258,7 +259,7 @@
 	names := poll.Witnesses()
 	votes := make(chan vote, len(names))
 	for _, name := range names {
-		ask := func() { votes <- vote{name: name, answer: claims.ask(ctx, name, key, attempt)} }
+		ask := func() { votes <- vote{name: name, answer: claims.ask(ctx, name, method, key, attempt)} }
 		if name == claims.node.settings.Name || claims.node.pool.Submit(ask) != nil {
 			ask()
 		}
@@ -275,22 +276,57 @@
 }
 
 // ask gets one witness's answer; no answer counts as an abstention.
-func (claims *claims) ask(ctx context.Context, name string, key dedup.Key, attempt dedup.Attempt) dedup.Answer {
-	claims.lock.Lock()
-	address := claims.links[name]
+func (claims *claims) ask(ctx context.Context, name, method string, key dedup.Key, attempt dedup.Attempt) dedup.Answer {
 	if name == claims.node.settings.Name {
-		defer claims.lock.Unlock()
-		return claims.witness.Claim(claims.node.now(), key, attempt)
+		return claims.testify(method, key, attempt)
 	}
+	claims.lock.Lock()
+	address := claims.links[name]
 	claims.lock.Unlock()
 	var answered wire.ClaimAnswer
-	err := claims.node.caller.Call(ctx, address, methodClaim, wire.FromClaim(key, attempt), &answered)
+	err := claims.node.caller.Call(ctx, address, method, wire.FromClaim(key, attempt), &answered)
 	if address == "" || err != nil {
 		return dedup.Answer{Grade: dedup.Abstained}
 	}
 	return answered.Domain()
 }
 
+// testify gives this node's own answer as a witness.
+func (claims *claims) testify(method string, key dedup.Key, attempt dedup.Attempt) dedup.Answer {
+	claims.lock.Lock()
+	defer claims.lock.Unlock()
+	if method == methodLook {
+		return claims.witness.Look(claims.node.now(), key)
+	}
+	return claims.witness.Claim(claims.node.now(), key, attempt)
+}
+
+// lookup finds out what came of a key without running it. NotRun is certain:
+// no attempt has won the key's claim. Without a majority it is Unknown.
+func (claims *claims) lookup(ctx context.Context, key dedup.Key) dedup.Outcome {
+	for try := range claimTries {
+		poll := claims.poll(ctx, methodLook, key, dedup.Attempt{})
+		if poll != nil && poll.Unclaimed() {
+			return dedup.Outcome{Kind: dedup.NotRun}
+		}
+		if poll == nil {
+			break
+		}
+		holder, held := poll.Holder()
+		if !held {
+			break
+		}
+		if outcome := claims.recall(ctx, key, holder); outcome.Kind != dedup.NotRun {
+			return outcome
+		}
+		claims.giveUp(key, holder)
+		if !claims.pause(ctx, try) {
+			break
+		}
+	}
+	return dedup.Outcome{Kind: dedup.Unknown, Reason: "too few witnesses know of the key"}
+}
+
 // recall asks the holder of a claim what came of its attempt.
 func (claims *claims) recall(ctx context.Context, key dedup.Key, holder dedup.Attempt) dedup.Outcome {
 	if holder.Node == claims.node.settings.Name {
@@ -332,10 +368,8 @@
 	}
 	key, attempt := request.Domain()
 	switch method {
-	case methodClaim:
-		claims.lock.Lock()
-		defer claims.lock.Unlock()
-		return wire.FromAnswer(claims.witness.Claim(claims.node.now(), key, attempt)), nil
+	case methodClaim, methodLook:
+		return wire.FromAnswer(claims.testify(method, key, attempt)), nil
 	case methodRecall:
 		outcome, err := claims.recallHere(ctx, key, attempt)
 		return wire.FromOutcome(outcome), err
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -37,10 +37,15 @@
 	repeatable bool
 	// repeated is true when the call is part of a retry further up.
 	repeated bool
+	// key is set for calls of class keyed.
+	key dedup.Key
 	// mayHaveRun is true once any try was sent without a certain outcome.
 	mayHaveRun bool
-	tried      []string
-	tries      int
+	// failed is the latest error answer of an upstream, kept in case no later
+	// try does better.
+	failed *fasthttp.Response
+	tried  []string
+	tries  int
 }
 
 // answer tells the caller how a call without an upstream's answer ended.
@@ -53,6 +58,16 @@
 	request.SetBodyString("vanillapulley: " + string(outcome) + ": " + reason + "\n")
 }
 
+// refuseEarly refuses a call before it was tried. A key may have come before,
+// so only a call without one is certain not to have run.
+func refuseEarly(request *fasthttp.RequestCtx, status int, reason string) {
+	outcome := proxy.OutcomeNotRun
+	if _, err := dedup.ParseKey("", "", string(request.Request.Header.Peek(proxy.HeaderKey))); err == nil {
+		outcome = proxy.OutcomeUnknown
+	}
+	answer(request, status, outcome, reason)
+}
+
 // serveCaller takes a call from a caller, picks a target and brings the whole
 // answer back.
 func (node *Node) serveCaller(request *fasthttp.RequestCtx) {
@@ -63,7 +78,7 @@
 	}
 	timeout, err := callTimeout(&request.Request, call.route.Timeout())
 	if err != nil {
-		answer(request, fasthttp.StatusBadRequest, proxy.OutcomeNotRun, err.Error())
+		refuseEarly(request, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
 	deadline, cancel := context.WithDeadline(node.ctx, started.Add(timeout))
@@ -78,12 +93,12 @@
 func (node *Node) newCall(request *fasthttp.RequestCtx) (*call, bool) {
 	config := node.config.Load()
 	if config == nil {
-		answer(request, fasthttp.StatusServiceUnavailable, proxy.OutcomeNotRun, "no configuration yet")
+		refuseEarly(request, fasthttp.StatusServiceUnavailable, "no configuration yet")
 		return nil, false
 	}
 	route, ok := config.Match(string(request.Path()))
 	if !ok {
-		answer(request, fasthttp.StatusNotFound, proxy.OutcomeNotRun, "no route")
+		refuseEarly(request, fasthttp.StatusNotFound, "no route")
 		return nil, false
 	}
 	header := &request.Request.Header
@@ -107,11 +122,12 @@
 		call.class = classRead
 	}
 	if key := string(header.Peek(proxy.HeaderKey)); key != "" {
-		if _, err := dedup.ParseKey(route.Service(), call.customer, key); err != nil {
-			answer(request, fasthttp.StatusBadRequest, proxy.OutcomeNotRun, err.Error())
+		parsed, err := dedup.ParseKey(route.Service(), call.customer, key)
+		if err != nil {
+			refuseEarly(request, fasthttp.StatusBadRequest, err.Error())
 			return nil, false
 		}
-		call.class, call.repeatable = classKeyed, true
+		call.class, call.repeatable, call.key = classKeyed, true, parsed
 		// A resend must come to the same version as the first call.
 		call.id = key
 	}
@@ -214,17 +230,29 @@
 	call.mayHaveRun = call.mayHaveRun || result.outcome == proxy.OutcomeUnknown
 	if pause, again := node.again(ctx, call, result); again {
 		node.stats.Count("vp_retries_total", 1)
+		call.keep(result, response)
 		return pause
 	}
 	node.deliver(ctx, call, result, response)
 	return noRetry
 }
 
+// keep remembers an upstream's error answer before another try.
+func (call *call) keep(result result, response *fasthttp.Response) {
+	if result.outcome != proxy.OutcomeRan {
+		return
+	}
+	if call.failed == nil {
+		call.failed = &fasthttp.Response{}
+	}
+	response.CopyTo(call.failed)
+}
+
 // noTarget ends a call for which no target is left, or tries the same ones
 // again if the budget allows it.
 func (node *Node) noTarget(ctx context.Context, call *call, version string) time.Duration {
 	refused := result{outcome: proxy.OutcomeNotRun, reason: "no target of " + call.route.Service() + "/" + version}
-	if len(call.tried) > 0 {
+	if len(call.tried) > 0 && call.failed == nil {
 		call.tried = nil
 		if pause, again := node.again(ctx, call, refused); again {
 			return pause
@@ -346,14 +374,29 @@
 	return &picker.Load{InFlight: inFlight, Queued: queued}
 }
 
-// deliver gives the caller its answer.
+// deliver gives the caller its answer: the last one of an upstream if there
+// was any. A keyed call that is not answered is looked up first, since it may
+// have run when it was sent before.
 func (node *Node) deliver(ctx context.Context, call *call, result result, response *fasthttp.Response) {
+	if result.outcome != proxy.OutcomeRan && call.failed != nil {
+		response, result.outcome = call.failed, proxy.OutcomeRan
+	}
 	if result.outcome == proxy.OutcomeRan {
 		response.CopyTo(&call.request.Response)
 		call.request.Response.Header.Del(proxy.HeaderLoad)
 		call.request.Response.Header.ResetConnectionClose()
 		return
 	}
+	if call.class == classKeyed && !result.final {
+		earlier := node.claims.lookup(ctx, call.key)
+		if earlier.Kind == dedup.Ran {
+			node.claims.replay(node.gate, call.request, earlier)
+			return
+		}
+		if earlier.Kind == dedup.Unknown {
+			call.mayHaveRun, result.reason = true, earlier.Reason
+		}
+	}
 	status := fasthttp.StatusServiceUnavailable
 	outcome := result.outcome
 	if call.mayHaveRun {
