--- /dev/null
+++ b/internal/disk/disk_test.go
@@ -0,0 +1,173 @@
+package disk
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/raft"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+)
+
+func entryAt(index uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: 2, Data: []byte(fmt.Sprintf(`{"n":%d}`, index)), Members: []raft.Member{}}
+}
+
+// newFolder returns a folder that holds the entries 1 to count.
+func newFolder(t testing.TB, count uint64) string {
+	folder := filepath.Join(t.TempDir(), "data")
+	require.NoError(t, Create(folder, "c1", raft.Bootstrap(raft.Member{ID: "c1-x", Name: "c1"})))
+	held, _, err := Open(folder)
+	require.NoError(t, err)
+	for index := uint64(2); index <= count; index++ {
+		require.NoError(t, held.Append(&raft.HardState{Term: 2, Vote: "c1-x"}, []raft.Entry{entryAt(index)}))
+	}
+	require.NoError(t, held.Close())
+	return folder
+}
+
+func reopen(t testing.TB, folder string) (*Disk, raft.Durable) {
+	held, durable, err := Open(folder)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = held.Close() })
+	return held, durable
+}
+
+func TestEveryTornTailIsCut(t *testing.T) {
+	folder := newFolder(t, 4)
+	whole, err := os.ReadFile(filepath.Join(folder, logFile))
+	require.NoError(t, err)
+	held, _, err := Open(folder)
+	require.NoError(t, err)
+	require.NoError(t, held.Append(nil, []raft.Entry{entryAt(5)}))
+	require.NoError(t, held.Close())
+	longer, err := os.ReadFile(filepath.Join(folder, logFile))
+	require.NoError(t, err)
+	for cut := len(whole); cut < len(longer); cut++ {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, logFile), longer[:cut], fileMode))
+		held, durable, err := Open(folder)
+		require.NoError(t, err, "cut at %d", cut)
+		require.Len(t, durable.Entries, 4)
+		require.Equal(t, int64(cut-len(whole)), held.Torn())
+		require.NoError(t, held.Close())
+	}
+}
+
+func TestDamageBeforeTheTailIsRefused(t *testing.T) {
+	folder := newFolder(t, 6)
+	file := filepath.Join(folder, logFile)
+	whole, err := os.ReadFile(file)
+	require.NoError(t, err)
+	_, first, _ := nextRecord(whole)
+	for offset := range first {
+		damaged := append([]byte(nil), whole...)
+		damaged[offset] ^= 0x40
+		require.NoError(t, os.WriteFile(file, damaged, fileMode))
+		_, _, err := Open(folder)
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt, "byte %d", offset)
+	}
+}
+
+func TestAReplacedTailIsReplayed(t *testing.T) {
+	folder := newFolder(t, 5)
+	held, _ := reopen(t, folder)
+	other := entryAt(3)
+	other.Term = 7
+	require.NoError(t, held.Append(&raft.HardState{Term: 7}, []raft.Entry{other}))
+	require.NoError(t, held.Close())
+	_, durable := reopen(t, folder)
+	require.Len(t, durable.Entries, 3)
+	require.Equal(t, uint64(7), durable.Entries[2].Term)
+	require.Equal(t, uint64(7), durable.HardState.Term)
+}
+
+func TestASnapshotSurvivesACrashBeforeTheLogIsReplaced(t *testing.T) {
+	folder := newFolder(t, 3)
+	old, err := os.ReadFile(filepath.Join(folder, logFile))
+	require.NoError(t, err)
+	held, _ := reopen(t, folder)
+	snapshot := raft.Snapshot{Index: 40, Term: 2, Members: []raft.Member{{ID: "c1-x", Voter: true}}, Data: []byte(`{}`)}
+	require.NoError(t, held.SaveSnapshot(snapshot, raft.HardState{Term: 2}, nil))
+	require.NoError(t, held.Close())
+	// The old log is back, as if the second rename had not happened.
+	require.NoError(t, os.WriteFile(filepath.Join(folder, logFile), old, fileMode))
+	held, durable := reopen(t, folder)
+	require.Equal(t, uint64(40), durable.Snapshot.Index)
+	require.NoError(t, held.Append(nil, []raft.Entry{entryAt(41)}))
+	require.NoError(t, held.Close())
+	_, durable = reopen(t, folder)
+	require.Equal(t, uint64(41), durable.Entries[len(durable.Entries)-1].Index)
+}
+
+func TestOneProcessAtATime(t *testing.T) {
+	folder := newFolder(t, 1)
+	reopen(t, folder)
+	_, _, err := Open(folder)
+	require.ErrorContains(t, err, "in use by another process")
+}
+
+func FuzzLog(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(encodeRecords(&raft.HardState{Term: 3, Vote: "a"}, []raft.Entry{entryAt(1), entryAt(2)}))
+	f.Add(appendRecord(nil, []byte(`{"entry":{"index":18446744073709551615}}`)))
+	f.Add(appendRecord(nil, wire.Must(wire.LogRecord{})))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var durable raft.Durable
+		size, err := scanRecords("log", data, func(payload []byte) error { return replay(&durable, payload) })
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, size, int64(len(data)))
+		for i := 1; i < len(durable.Entries); i++ {
+			require.Equal(t, durable.Entries[i-1].Index+1, durable.Entries[i].Index)
+		}
+	})
+}
+
+// BenchmarkAppend measures one synced batch by its number of entries.
+func BenchmarkAppend(b *testing.B) {
+	for _, count := range []uint64{1, 16, 256} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
+			held, _ := reopen(b, newFolder(b, 1))
+			index := uint64(2)
+			start := held.Size()
+			for b.Loop() {
+				var entries []raft.Entry
+				for range count {
+					entries = append(entries, entryAt(index))
+					index++
+				}
+				require.NoError(b, held.Append(nil, entries))
+			}
+			b.ReportMetric(float64(held.Size()-start)/float64(index-2), "bytes/entry")
+		})
+	}
+}
+
+// BenchmarkRecover measures opening by the log's length.
+func BenchmarkRecover(b *testing.B) {
+	for _, count := range []uint64{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
+			folder := newFolder(b, 1)
+			held, _, err := Open(folder)
+			require.NoError(b, err)
+			var entries []raft.Entry
+			for index := uint64(2); index <= count; index++ {
+				entries = append(entries, entryAt(index))
+			}
+			require.NoError(b, held.Append(nil, entries))
+			require.NoError(b, held.Close())
+			for b.Loop() {
+				held, _, err := Open(folder)
+				require.NoError(b, err)
+				require.NoError(b, held.Close())
+			}
+			b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(count)/float64(time.Microsecond), "µs/entry")
+		})
+	}
+}
--- /dev/null
+++ b/internal/distr/distr_test.go
@@ -0,0 +1,247 @@
+package distr_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+)
+
+// The users' limits.
+const (
+	limitConverge = 4 * time.Second
+	limitBytes    = 26_000
+)
+
+// TestScenarios runs the scripts of testdata/script over cores, with a clock
+// moved by hand.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Values["fleet"] = newFleet(1)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet": scriptFleet, "pass": scriptPass, "do": scriptDo, "want": scriptWant, "variant": scriptVariant,
+		},
+	})
+}
+
+func scriptFleetOf(ts *testscript.TestScript) *fleet { return ts.Value("fleet").(*fleet) }
+
+// fleet ROOTS NODES.
+func scriptFleet(ts *testscript.TestScript, _ bool, args []string) {
+	fleet := scriptFleetOf(ts)
+	roots, _ := strconv.Atoi(args[0])
+	nodes, _ := strconv.Atoi(args[1])
+	fleet.roots(roots)
+	fleet.addNodes(nodes)
+	fleet.fill(20)
+}
+
+func scriptPass(ts *testscript.TestScript, _ bool, args []string) {
+	duration, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	scriptFleetOf(ts).run(duration)
+}
+
+// expand turns "n1..n5" and "zone:a1" into names.
+func expand(fleet *fleet, words []string) []string {
+	var names []string
+	for _, word := range words {
+		first, last, isRange := strings.Cut(word, "..")
+		zone, isZone := strings.CutPrefix(word, "zone:")
+		switch {
+		case isZone:
+			for _, name := range fleet.names {
+				if node := fleet.nodes[name]; node.zone == zone && !node.root {
+					names = append(names, name)
+				}
+			}
+		case isRange:
+			from, _ := strconv.Atoi(first[1:])
+			to, _ := strconv.Atoi(last[1:])
+			for i := from; i <= to; i++ {
+				names = append(names, fmt.Sprintf("%c%d", first[0], i))
+			}
+		default:
+			names = append(names, word)
+		}
+	}
+	return names
+}
+
+// do ACTION NAME...: kill, start, cut, heal; do write COUNT; do noquorum,
+// quorum, double.
+func scriptDo(ts *testscript.TestScript, _ bool, args []string) {
+	fleet := scriptFleetOf(ts)
+	switch args[0] {
+	case "write":
+		count, _ := strconv.Atoi(args[1])
+		for i := range count {
+			fleet.changeOne(i)
+			fleet.run(20 * time.Millisecond)
+		}
+		return
+	case "noquorum", "quorum":
+		fleet.noQuorum = args[0] == "noquorum"
+		return
+	case "double":
+		fleet.double = true
+		return
+	}
+	for _, name := range expand(fleet, args[1:]) {
+		switch args[0] {
+		case "kill":
+			fleet.kill(name)
+		case "start":
+			fleet.start(name, fleet.nodes[name].zone, fleet.nodes[name].root)
+		case "cut", "heal":
+			fleet.cut[name] = args[0] == "cut"
+		default:
+			ts.Fatalf("unknown action %q", args[0])
+		}
+	}
+}
+
+// want converged DURATION | members | version NAME N | ready NAME |
+// roots-at-most N children; "!" negates.
+func scriptWant(ts *testscript.TestScript, neg bool, args []string) {
+	fleet := scriptFleetOf(ts)
+	holds, detail := false, ""
+	switch args[0] {
+	case "converged":
+		limit, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		took := fleet.converge(limit)
+		holds, detail = fleet.behind() == 0, fmt.Sprintf("%d nodes behind after %s", fleet.behind(), took)
+	case "members":
+		holds, detail = fleet.unknown() == 0, fmt.Sprintf("%d wrong views", fleet.unknown())
+	case "ready":
+		holds = fleet.nodes[args[1]].core.Ready()
+	case "behind":
+		holds = fleet.nodes[args[1]].core.Config().Version() < fleet.config.Version()
+	case "violated":
+		holds, detail = fleet.violation != nil, fmt.Sprint(fleet.violation)
+	case "children":
+		most, _ := strconv.Atoi(args[1])
+		holds = true
+		for _, node := range fleet.nodes {
+			if count := node.core.Children(); !node.down && count > most {
+				holds, detail = false, fmt.Sprintf("%s has %d children", node.name, count)
+			}
+		}
+	}
+	if holds == neg {
+		ts.Fatalf("want %v %v: %s", neg, args, detail)
+	}
+	if fleet.violation != nil && args[0] != "violated" {
+		ts.Fatalf("%v", fleet.violation)
+	}
+}
+
+// variant star: every node is a child of a root. variant no-floor: nodes take
+// any root's word for fresh.
+func scriptVariant(ts *testscript.TestScript, _ bool, args []string) {
+	fleet := scriptFleetOf(ts)
+	switch args[0] {
+	case "star":
+		fleet.settings = star
+	case "small":
+		fleet.settings = func(settings *distr.Settings) { settings.MaxChildren = 3 }
+	}
+}
+
+func star(settings *distr.Settings) {
+	settings.MaxChildren = 0
+	if settings.Root {
+		settings.MaxChildren = 1000
+	}
+	settings.MaxLaterals = 0
+}
+
+// TestUsersSize bounds convergence, bytes and source messages at the users'
+// size, with changes and a herd restart in flight.
+func TestUsersSize(t *testing.T) {
+	fleet := newFleet(7)
+	fleet.roots(3)
+	fleet.addNodes(480)
+	fleet.fill(21)
+	joined := fleet.converge(time.Minute)
+	t.Logf("480 joins: all in force after %s", joined)
+	fleet.run(15 * time.Second)
+	require.Zero(t, fleet.unknown())
+
+	fleet.resetCounts()
+	const changes, pause = 5, 3
+	for i := range changes {
+		fleet.changeOne(i)
+		took := fleet.converge(10 * time.Second)
+		require.LessOrEqual(t, took, limitConverge)
+		fleet.run(pause*time.Second - took)
+	}
+	worst, mean, rootMessages, rootBytes := fleet.traffic()
+	const seconds = changes * pause
+	t.Logf("a change every %d s: node bytes/s worst %d, mean %d; busiest root %d messages/s, %d bytes/s", pause, worst/seconds, mean/seconds, rootMessages/seconds, rootBytes/seconds)
+	require.LessOrEqual(t, worst/seconds, limitBytes)
+
+	for _, name := range expand(fleet, []string{"zone:a1"}) {
+		fleet.kill(name)
+	}
+	fleet.run(2 * time.Second)
+	for _, name := range expand(fleet, []string{"zone:a1"}) {
+		fleet.start(name, "a1", false)
+	}
+	fleet.changeOne(11)
+	before := fleet.behind()
+	took := fleet.converge(30 * time.Second)
+	t.Logf("a zone of 96 restarts with a change in flight: %d behind, in force after %s", before, took)
+	require.LessOrEqual(t, took, limitConverge)
+	require.NoError(t, fleet.violation)
+}
+
+// BenchmarkConvergence gives the slopes for the capacity page: virtual time,
+// messages and bytes a change by fleet size, tree against star.
+func BenchmarkConvergence(b *testing.B) {
+	for _, shape := range []string{"tree", "star"} {
+		for _, size := range []int{60, 120, 240, 480} {
+			b.Run(fmt.Sprintf("%s/nodes=%d", shape, size), func(b *testing.B) {
+				fleet := newFleet(3)
+				if shape == "star" {
+					fleet.settings = star
+				}
+				fleet.roots(3)
+				fleet.addNodes(size)
+				fleet.fill(21)
+				joined := fleet.converge(2 * time.Minute)
+				fleet.run(20 * time.Second)
+				fleet.resetCounts()
+				fleet.run(20 * time.Second)
+				idle, _, idleMessages, idleBytes := fleet.traffic()
+				var total time.Duration
+				changes := 0
+				fleet.resetCounts()
+				for b.Loop() {
+					fleet.changeOne(changes)
+					changes++
+					total += fleet.converge(10 * time.Second)
+				}
+				_, _, rootMessages, _ := fleet.traffic()
+				b.ReportMetric(joined.Seconds(), "join-s")
+				b.ReportMetric(total.Seconds()*1000/float64(changes), "converge-ms")
+				b.ReportMetric(float64(fleet.updates())/float64(changes), "update-B/change")
+				b.ReportMetric(float64(rootMessages)/float64(changes), "root-msg/change")
+				b.ReportMetric(float64(idle)/20, "idle-node-B/s")
+				b.ReportMetric(float64(idleMessages)/20, "idle-root-msg/s")
+				b.ReportMetric(float64(idleBytes)/20, "idle-root-B/s")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/distr/fleet_test.go
@@ -0,0 +1,477 @@
+package distr_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// Latencies between places, one way.
+const (
+	sameZone   = 250 * time.Microsecond
+	otherZone  = 1500 * time.Microsecond
+	otherShore = 20 * time.Millisecond
+	idleLimit  = 8 * time.Second
+	frameBytes = 60
+)
+
+type occurrence struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type queue []occurrence
+
+func (queue queue) Len() int { return len(queue) }
+func (queue queue) Less(i, j int) bool {
+	if !queue[i].at.Equal(queue[j].at) {
+		return queue[i].at.Before(queue[j].at)
+	}
+	return queue[i].order < queue[j].order
+}
+func (queue queue) Swap(i, j int)  { queue[i], queue[j] = queue[j], queue[i] }
+func (queue *queue) Push(item any) { *queue = append(*queue, item.(occurrence)) }
+func (queue *queue) Pop() any {
+	last := (*queue)[len(*queue)-1]
+	*queue = (*queue)[:len(*queue)-1]
+	return last
+}
+
+// side is one end of a connection.
+type side struct {
+	node  *fleetNode
+	id    distr.LinkID
+	peer  *side
+	open  bool
+	heard time.Time
+	// ready is when the next message may arrive, to keep the order.
+	ready time.Time
+}
+
+type fleetNode struct {
+	name     string
+	zone     string
+	root     bool
+	core     *distr.Core
+	down     bool
+	sides    map[distr.LinkID]*side
+	lastLink distr.LinkID
+	starts   int
+	// highest is the highest version that the node has ever run, over starts.
+	highest uint64
+	sent    int
+	got     int
+	msgs    int
+	// updateBytes counts configuration updates alone.
+	updateBytes int
+}
+
+// fleet runs cores over a network with a clock moved by hand.
+type fleet struct {
+	now       time.Time
+	random    *rand.Rand
+	nodes     map[string]*fleetNode
+	queue     queue
+	order     int
+	cut       map[string]bool
+	config    *rsrc.Config
+	noQuorum  bool
+	settings  func(*distr.Settings)
+	double    bool
+	violation error
+	sizes     map[*rsrc.Delta][]byte
+	names     []string
+}
+
+func newFleet(seed uint64) *fleet {
+	return &fleet{
+		now:      time.Unix(1_000_000, 0),
+		random:   rand.New(rand.NewPCG(seed, 9)),
+		nodes:    map[string]*fleetNode{},
+		cut:      map[string]bool{},
+		config:   rsrc.EmptyConfig(),
+		settings: func(*distr.Settings) {},
+		sizes:    map[*rsrc.Delta][]byte{},
+	}
+}
+
+func (fleet *fleet) fail(format string, args ...any) {
+	if fleet.violation == nil {
+		fleet.violation = fmt.Errorf(format, args...)
+	}
+}
+
+func (fleet *fleet) after(delay time.Duration, run func()) {
+	fleet.order++
+	heap.Push(&fleet.queue, occurrence{at: fleet.now.Add(delay), order: fleet.order, run: run})
+}
+
+func (fleet *fleet) latency(a, b *fleetNode) time.Duration {
+	switch {
+	case a.zone == b.zone:
+		return sameZone
+	case a.zone[0] == b.zone[0]:
+		return otherZone
+	default:
+		return otherShore
+	}
+}
+
+var zones = []string{"a1", "a2", "a3", "b1", "b2"}
+
+func (fleet *fleet) roots(count int) {
+	for i := range count {
+		fleet.start(fmt.Sprintf("c%d", i+1), zones[i%len(zones)], true)
+	}
+	for i := 2; i <= count; i++ {
+		fleet.do(fleet.nodes[fmt.Sprintf("c%d", i)], func(core *distr.Core) { core.SetParents(fleet.now, []string{"c1"}) })
+	}
+}
+
+func (fleet *fleet) addNodes(count int) {
+	for i := range count {
+		fleet.start(fmt.Sprintf("n%d", i+1), zones[i%len(zones)], false)
+	}
+}
+
+// start begins a node's life, or its next one without any memory.
+func (fleet *fleet) start(name, zone string, root bool) {
+	node, ok := fleet.nodes[name]
+	if !ok {
+		node = &fleetNode{name: name, zone: zone, root: root}
+		fleet.nodes[name] = node
+		fleet.names = slices.Sorted(maps.Keys(fleet.nodes))
+	}
+	node.starts++
+	node.down = false
+	node.sides = map[distr.LinkID]*side{}
+	settings := distr.Settings{
+		Name: name, Zone: node.zone, Link: name, Root: root,
+		MaxChildren: 8, MaxLaterals: 2, JoinsPerSecond: 100,
+		Seeds:  []string{"n1", "n2", "n3", "n4", "n5", "n6"},
+		Timing: distr.DefaultTiming(), Members: member.DefaultTiming(),
+	}
+	if !root {
+		for _, other := range fleet.names {
+			if fleet.nodes[other].root {
+				settings.Parents = append(settings.Parents, other)
+			}
+		}
+	}
+	fleet.settings(&settings)
+	node.core = distr.New(settings, rand.New(rand.NewPCG(fleet.random.Uint64(), 3)), fleet.now)
+	fleet.do(node, func(core *distr.Core) {
+		if root {
+			core.Publish(fleet.config)
+			return
+		}
+		record := member.Record{Gate: name, Incarnation: uint64(node.starts), State: member.StateServing}
+		record.Upstream = member.Upstream{Service: "s" + name, Version: "v1", Slots: 12}
+		core.Announce(fleet.now, record)
+	})
+	start := node.starts
+	fleet.after(time.Duration(fleet.random.Int64N(int64(25*time.Millisecond))), func() { fleet.tick(node, start) })
+}
+
+func (fleet *fleet) tick(node *fleetNode, start int) {
+	if node.down || node.starts != start {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(node.sides)) {
+		if side := node.sides[id]; fleet.now.Sub(side.heard) > idleLimit {
+			fleet.closed(side)
+		}
+	}
+	fleet.do(node, func(core *distr.Core) { core.Tick(fleet.now) })
+	fleet.after(50*time.Millisecond, func() { fleet.tick(node, start) })
+}
+
+// do runs an event and carries out the actions.
+func (fleet *fleet) do(node *fleetNode, event func(core *distr.Core)) {
+	event(node.core)
+	for actions := node.core.Take(); len(actions) > 0; actions = node.core.Take() {
+		for _, action := range actions {
+			fleet.perform(node, action)
+		}
+	}
+}
+
+func (fleet *fleet) perform(node *fleetNode, action distr.Action) {
+	switch {
+	case action.Send != nil:
+		fleet.send(node, action.ID, *action.Send)
+	case action.Close:
+		if side, ok := node.sides[action.ID]; ok {
+			delete(node.sides, action.ID)
+			side.open = false
+			fleet.tellClosed(side)
+		}
+	case action.Dial != "":
+		fleet.dial(node, action.Dial)
+	case action.Config != nil:
+		if action.Config.Version() < node.highest {
+			fleet.fail("%s went back from version %d to %d", node.name, node.highest, action.Config.Version())
+		}
+		node.highest = action.Config.Version()
+	case action.Refused != nil:
+		fleet.fail("%s refused: %v", node.name, action.Refused)
+	case action.Confirm:
+		start := node.starts
+		fleet.after(3*time.Millisecond, func() {
+			if node.starts == start {
+				ok := !fleet.noQuorum && !fleet.cut[node.name]
+				fleet.do(node, func(core *distr.Core) {
+					if ok {
+						core.Publish(fleet.config)
+					}
+					core.Confirmed(action.ID, fleet.config.Version(), ok)
+				})
+			}
+		})
+	}
+}
+
+func (fleet *fleet) apart(a, b *fleetNode) bool { return fleet.cut[a.name] != fleet.cut[b.name] }
+
+func (fleet *fleet) dial(node *fleetNode, address string) {
+	target, ok := fleet.nodes[address]
+	start := node.starts
+	wait := time.Second
+	if ok && !fleet.apart(node, target) {
+		wait = 2 * fleet.latency(node, target)
+	}
+	fleet.after(wait, func() {
+		if node.down || node.starts != start {
+			return
+		}
+		if !ok || target.down || fleet.apart(node, target) || target == node {
+			fleet.do(node, func(core *distr.Core) { core.DialFailed(address) })
+			return
+		}
+		mine, theirs := fleet.newSide(node), fleet.newSide(target)
+		mine.peer, theirs.peer = theirs, mine
+		fleet.do(target, func(core *distr.Core) { core.Accepted(theirs.id) })
+		fleet.do(node, func(core *distr.Core) { core.LinkUp(fleet.now, mine.id, address) })
+	})
+}
+
+func (fleet *fleet) newSide(node *fleetNode) *side {
+	node.lastLink++
+	made := &side{node: node, id: node.lastLink, open: true, heard: fleet.now}
+	node.sides[made.id] = made
+	return made
+}
+
+// encodedSize is what a message takes on the wire.
+func (fleet *fleet) encodedSize(message distr.Message) int {
+	var update []byte
+	if message.Update != nil {
+		data, ok := fleet.sizes[message.Update]
+		if !ok {
+			data = wire.Must(wire.FromDelta(*message.Update))
+			fleet.sizes[message.Update] = data
+		}
+		update = data
+	}
+	return frameBytes + len(wire.Must(wire.FromTreeMessage(message, update)))
+}
+
+func (fleet *fleet) send(node *fleetNode, id distr.LinkID, message distr.Message) {
+	side, ok := node.sides[id]
+	if !ok {
+		return
+	}
+	size := fleet.encodedSize(message)
+	node.sent += size
+	node.msgs++
+	if message.Update != nil {
+		node.updateBytes += size
+	}
+	peer := side.peer
+	arrival := fleet.now.Add(fleet.latency(node, peer.node))
+	if arrival.Before(peer.ready) {
+		arrival = peer.ready
+	}
+	peer.ready = arrival
+	copies := 1
+	if fleet.double {
+		copies = 2
+	}
+	for range copies {
+		fleet.after(arrival.Sub(fleet.now), func() {
+			if !peer.open || peer.node.down || fleet.apart(node, peer.node) {
+				return
+			}
+			peer.heard = fleet.now
+			peer.node.got += size
+			fleet.do(peer.node, func(core *distr.Core) { core.Receive(fleet.now, peer.id, message) })
+		})
+	}
+}
+
+// tellClosed lets the other end learn of a close, unless they are apart.
+func (fleet *fleet) tellClosed(side *side) {
+	peer := side.peer
+	fleet.after(fleet.latency(side.node, peer.node), func() {
+		if peer.open && !fleet.apart(side.node, peer.node) {
+			fleet.closed(peer)
+		}
+	})
+}
+
+func (fleet *fleet) closed(side *side) {
+	if !side.open || side.node.down {
+		return
+	}
+	side.open = false
+	delete(side.node.sides, side.id)
+	fleet.do(side.node, func(core *distr.Core) { core.LinkDown(fleet.now, side.id) })
+}
+
+func (fleet *fleet) kill(name string) {
+	node := fleet.nodes[name]
+	node.down = true
+	for _, id := range slices.Sorted(maps.Keys(node.sides)) {
+		side := node.sides[id]
+		side.open = false
+		fleet.tellClosed(side)
+	}
+}
+
+func (fleet *fleet) run(duration time.Duration) {
+	end := fleet.now.Add(duration)
+	for len(fleet.queue) > 0 && !fleet.queue[0].at.After(end) {
+		next := heap.Pop(&fleet.queue).(occurrence)
+		fleet.now = next.at
+		next.run()
+	}
+	fleet.now = end
+}
+
+// write accepts a change and publishes it on the roots that have a quorum.
+func (fleet *fleet) write(change rsrc.Change) {
+	next, err := fleet.config.Apply(fleet.config.Version()+1, change)
+	if err != nil {
+		fleet.fail("%v", err)
+		return
+	}
+	fleet.config = next
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if node.root && !node.down && !fleet.cut[name] {
+			fleet.do(node, func(core *distr.Core) { core.Publish(next) })
+		}
+	}
+}
+
+// fill accepts a configuration of the users' size.
+func (fleet *fleet) fill(services int) {
+	change := rsrc.Change{}
+	for i := range services {
+		service := fmt.Sprintf("service-%02d", i)
+		change.Put = append(change.Put, rsrc.NewService(service, rsrc.PolicyBalanced))
+		for version := range 2 {
+			change.Put = append(change.Put, rsrc.NewVersion(service, fmt.Sprintf("v%d", version+1), 2))
+		}
+		for route := range 4 {
+			name := fmt.Sprintf("route-%02d-%d", i, route)
+			change.Put = append(change.Put, rsrc.NewRoute(name, service, "/"+name, "v1", time.Second))
+		}
+	}
+	fleet.write(change)
+}
+
+// changeOne writes one route anew.
+func (fleet *fleet) changeOne(n int) {
+	name := fmt.Sprintf("route-%02d-%d", n%20, n%4)
+	route, _ := fleet.config.Route(name)
+	version := "v1"
+	if route.Version() == "v1" {
+		version = "v2"
+	}
+	fleet.write(rsrc.Change{Put: []rsrc.Resource{route.WithVersion(version)}})
+}
+
+// behind returns how many nodes that are up do not run the accepted version.
+func (fleet *fleet) behind() int {
+	count := 0
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if !node.root && !node.down && node.core.Config().Version() < fleet.config.Version() {
+			count++
+		}
+	}
+	return count
+}
+
+// converge runs until every node has the accepted version and returns the
+// time that took, or the limit.
+func (fleet *fleet) converge(limit time.Duration) time.Duration {
+	begin := fleet.now
+	for fleet.behind() > 0 && fleet.now.Sub(begin) < limit {
+		fleet.run(10 * time.Millisecond)
+	}
+	return fleet.now.Sub(begin)
+}
+
+// unknown counts, over all nodes that are up, the members that are up but not
+// known, and the members that are down but still known as serving.
+func (fleet *fleet) unknown() int {
+	count := 0
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if node.down {
+			continue
+		}
+		for _, other := range fleet.names {
+			if target := fleet.nodes[other]; !target.root {
+				record, ok := node.core.Table().Get(other)
+				serving := ok && record.State == member.StateServing
+				if serving == target.down {
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
+func (fleet *fleet) resetCounts() {
+	for _, node := range fleet.nodes {
+		node.sent, node.got, node.msgs, node.updateBytes = 0, 0, 0, 0
+	}
+}
+
+// traffic returns the largest and the mean bytes sent and received by nodes,
+// and the messages and bytes sent by the busiest root.
+func (fleet *fleet) traffic() (worst, mean, rootMessages, rootBytes int) {
+	total, count := 0, 0
+	for _, node := range fleet.nodes {
+		if node.root {
+			rootMessages, rootBytes = max(rootMessages, node.msgs), max(rootBytes, node.sent)
+			continue
+		}
+		worst = max(worst, node.sent+node.got)
+		total += node.sent + node.got
+		count++
+	}
+	return worst, total / max(1, count), rootMessages, rootBytes
+}
+
+// updates returns the bytes of configuration updates sent by everybody.
+func (fleet *fleet) updates() int {
+	total := 0
+	for _, node := range fleet.nodes {
+		total += node.updateBytes
+	}
+	return total
+}
--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -142,7 +142,11 @@
 			count++
 		}
 	}
-	if count >= core.settings.MaxLaterals {
+	wanted := core.settings.MaxLaterals
+	if !core.floorKnown && core.finds.failures > 2 {
+		wanted = max(wanted, peersForFloor+1)
+	}
+	if count >= wanted {
 		return
 	}
 	core.finds.nextPeer = now.Add(core.jitter(core.settings.Timing.Retry * 2))
@@ -185,8 +189,7 @@
 	from.version = hello.Version
 	core.dropOlder(from)
 	if hello.Lateral {
-		from.role = RoleLateral
-		core.welcome(from, Welcome{Accepted: true})
+		core.decideLateral(from)
 		return
 	}
 	if core.settings.Root && !core.takeToken(now) {
@@ -200,6 +203,24 @@
 	core.decide(from, Welcome{})
 }
 
+// decideLateral takes a bounded number of lateral connections from others, so
+// that a node that many know first does not carry them all. A refusal tells
+// the version here all the same.
+func (core *Core) decideLateral(from *link) {
+	taken := 0
+	for _, link := range core.withRole(RoleLateral) {
+		if !link.dialled {
+			taken++
+		}
+	}
+	if taken > core.settings.MaxLaterals*2 {
+		core.welcome(from, Welcome{})
+		return
+	}
+	from.role = RoleLateral
+	core.welcome(from, Welcome{Accepted: true})
+}
+
 // decide takes the other end as a child or names others to ask.
 func (core *Core) decide(from *link, welcome Welcome) {
 	if !core.mayAdopt(from) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -34,8 +34,13 @@
 	repeated time.Time
 	// version rises with every change, so that readers can cache.
 	version uint64
+	// expired is when leases were last looked at.
+	expired time.Time
 }
 
+// expireEvery is how often leases and suspicions are looked at.
+const expireEvery = time.Second
+
 // NewTable returns an empty table for the named node.
 func NewTable(self string, timing Timing) *Table {
 	return &Table{self: self, timing: timing, rows: map[string]row{}}
@@ -156,6 +161,10 @@
 	if own, ok := table.rows[table.self]; ok && now.Sub(table.repeated) >= table.timing.Refresh {
 		spread = append(spread, table.Announce(now, own.record))
 	}
+	if now.Sub(table.expired) < expireEvery {
+		return spread
+	}
+	table.expired = now
 	for name, row := range table.rows {
 		if name == table.self {
 			continue
