Connections between nodes show that they are alive

Also, a doubled hello or welcome changed a connection's role. Ruled out: a longer idle limit, which only hides it. Change: the accepting side answers every digest; a digest is one sum, groups are sent only when sums differ; a second hello or welcome is ignored.

--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -361,11 +361,14 @@
 }
 
 func (core *Core) sendDigest(to *link) {
-	core.send(to, Message{Digest: &Digest{Version: core.config.Version(), Members: core.table.Digest()}})
+	core.send(to, Message{Digest: core.ownDigest()})
 }
 
-// receiveDigest sends what the other end lacks, and the own digest back if
-// the other end seems to know more.
+func (core *Core) ownDigest() *Digest {
+	return &Digest{Version: core.config.Version(), Sum: core.table.Digest().Sum()}
+}
+
+// receiveDigest brings both ends to the same state.
 func (core *Core) receiveDigest(from *link, digest Digest) {
 	from.version = digest.Version
 	if from.role == RoleLateral || from.role == RoleChild {
@@ -374,14 +377,21 @@
 	if digest.Version > core.config.Version() && core.floorKnown && !core.settings.Root {
 		core.send(from, Message{Pull: &Pull{Version: core.config.Version()}})
 	}
-	if digest.Members == core.table.Digest() {
-		return
-	}
-	if records := core.table.InBuckets(digest.Members); len(records) > 0 {
-		core.send(from, Message{Records: records})
-	}
-	if from.dialled {
+	reply := core.ownDigest()
+	groups := core.table.Digest()
+	switch {
+	case digest.Groups != nil:
+		if records := core.table.InBuckets(*digest.Groups); len(records) > 0 {
+			core.send(from, Message{Records: records})
+		}
+		if digest.Last {
+			return
+		}
+		reply.Groups, reply.Last = &groups, true
+	case digest.Sum != reply.Sum:
+		reply.Groups = &groups
+	case from.dialled:
 		return
 	}
-	core.sendDigest(from)
+	core.send(from, Message{Digest: reply})
 }
--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -185,6 +185,9 @@
 }
 
 func (core *Core) receiveHello(now time.Time, from *link, hello Hello) {
+	if from.role != RoleUnknown {
+		return
+	}
 	from.name, from.zone, from.address = hello.Name, hello.Zone, hello.Link
 	from.version = hello.Version
 	core.dropOlder(from)
@@ -325,6 +328,9 @@
 }
 
 func (core *Core) receiveWelcome(now time.Time, from *link, welcome Welcome) {
+	if from.role != RoleUnknown {
+		return
+	}
 	from.name, from.zone = welcome.Name, welcome.Zone
 	core.learnFloor(from, welcome)
 	if core.finds.trying != from.id {
--- a/internal/distr/types.go
+++ b/internal/distr/types.go
@@ -91,10 +91,17 @@
 	Version uint64
 }
 
-// Digest compares states over a lateral connection, or answers one.
+// Digest compares states. The side that dialled sends its sums at times; the
+// other answers with its own sums, which also shows that it is alive, or with
+// its groups of records if they differ.
 type Digest struct {
 	Version uint64
-	Members member.Digest
+	// Sum stands for all groups of membership records.
+	Sum uint64
+	// Groups is sent when the sums differ.
+	Groups *member.Digest
+	// Last ends an exchange: records may follow, but no further digest.
+	Last bool
 }
 
 // Report tells a parent about the sender and everything below it.
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -52,6 +52,15 @@
 // Digest returns the hash of each group of records.
 func (table *Table) Digest() Digest { return table.digest }
 
+// Sum returns one hash of all groups.
+func (digest Digest) Sum() uint64 {
+	sum := uint64(0)
+	for _, part := range digest {
+		sum += part
+	}
+	return sum
+}
+
 // Len returns the number of records, gone ones included.
 func (table *Table) Len() int { return len(table.rows) }
 
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -152,7 +152,9 @@
 	}
 }
 
-func scriptVariant(ts *testscript.TestScript, _ bool, args []string) { scriptBench(ts).variant = args[0] }
+func scriptVariant(ts *testscript.TestScript, _ bool, args []string) {
+	scriptBench(ts).variant = args[0]
+}
 
 // violated checks that the invariants have caught a broken variant.
 func scriptViolated(ts *testscript.TestScript, neg bool, _ []string) {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -56,8 +56,10 @@
 
 // Digest compares states.
 type Digest struct {
-	Version uint64        `json:"version"`
-	Members member.Digest `json:"members"`
+	Version uint64         `json:"version"`
+	Sum     uint64         `json:"sum"`
+	Groups  *member.Digest `json:"groups,omitempty"`
+	Last    bool           `json:"last,omitempty"`
 }
 
 // Report tells a parent about a part of the tree.
