--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -46,6 +46,7 @@
 			"load":       cmdLoad,
 			"unload":     cmdUnload,
 			"damage":     cmdDamage,
+			"capture":    cmdCapture,
 		},
 	})
 }
@@ -221,6 +222,17 @@
 	}
 }
 
+// cmdCapture sets a variable to the first group of a match in a command's
+// output: capture VARIABLE REGEXP PROGRAM ARGS.
+func cmdCapture(ts *testscript.TestScript, _ bool, args []string) {
+	output, _ := command(ts, args[2:]).CombinedOutput()
+	match := regexp.MustCompile(args[1]).FindSubmatch(output)
+	if match == nil {
+		ts.Fatalf("no match of %s in\n%s", args[1], output)
+	}
+	ts.Setenv(args[0], string(match[1]))
+}
+
 // cmdKey sets a variable to a new idempotency key: key VARIABLE.
 func cmdKey(ts *testscript.TestScript, _ bool, args []string) {
 	id, err := uuid.NewV7()
