--- a/internal/dedup/ledger.go
+++ b/internal/dedup/ledger.go
@@ -136,17 +136,17 @@
 // means that the named attempt has not run and never will.
 func (ledger *Ledger) Recall(now time.Time, key Key, attempt Attempt, wait func(Outcome)) (Begun, Outcome) {
 	ledger.sweep(now)
-	held, ok := ledger.entries[key.id]
+	if attempt.Node != ledger.node || attempt.Incarnation != ledger.incarnation {
+		// Whatever is known of the key now, that attempt may have run.
+		return Known, Outcome{Kind: Unknown, Reason: "the node that held the claim has restarted"}
+	}
 	dead := Outcome{Kind: NotRun, Reason: "the attempt was given up"}
-	if ok && !held.finished && (held.lost || held.attempt != attempt) {
+	held, ok := ledger.entries[key.id]
+	switch {
+	case ok && !held.finished && (held.lost || held.attempt != attempt):
 		return Known, dead
-	}
-	if ok {
+	case ok:
 		return held.follow(wait)
-	}
-	switch {
-	case attempt.Node != ledger.node || attempt.Incarnation != ledger.incarnation:
-		return Known, Outcome{Kind: Unknown, Reason: "the node that held the claim has restarted"}
 	case key.Expired(now):
 		return Known, Outcome{Kind: Unknown, Reason: "the key is older than the deduplication window"}
 	}
