--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -177,7 +177,7 @@
 func (node *Node) run(ctx context.Context, call *call) {
 	version, rollout := node.chooseVersion(call)
 	node.lock.Lock()
-	node.budget.Call()
+	node.budget.Call(call.repeated)
 	if rollout != nil && node.picker.Count(call.route.Service(), version) == 0 {
 		version = otherVersion(*rollout, version)
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -69,8 +69,12 @@
 // Denied returns how many retries the budget has refused.
 func (budget *Budget) Denied() uint64 { return budget.denied }
 
-// Call adds one call's share to the budget.
-func (budget *Budget) Call() {
+// Call adds one call's share to the budget. A call that is part of a retry
+// further up the chain adds nothing, or the shares of all hops would multiply.
+func (budget *Budget) Call(repeated bool) {
+	if repeated {
+		return
+	}
 	budget.tokens = min(budget.tokens+budget.settings.BudgetPermille, budget.settings.Burst*permille)
 }
 
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,91 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func newBudget(settings Settings) *Budget { return New(settings, rand.New(rand.NewPCG(1, 1))) }
+
+func TestOnlyHarmlessTriesAreRepeated(t *testing.T) {
+	cases := []struct {
+		name    string
+		attempt Attempt
+		left    time.Duration
+		again   bool
+	}{
+		{"not run", Attempt{NotRun: true, Tries: 1}, time.Second, true},
+		{"may have run", Attempt{Tries: 1}, time.Second, false},
+		{"idempotent", Attempt{Idempotent: true, Tries: 1}, time.Second, true},
+		{"idempotent in a retry", Attempt{Idempotent: true, Repeated: true, Tries: 1}, time.Second, false},
+		{"not run in a retry", Attempt{NotRun: true, Repeated: true, Tries: 1}, time.Second, true},
+		{"too many tries", Attempt{NotRun: true, Tries: 4}, time.Second, false},
+		{"no time left", Attempt{NotRun: true, Tries: 1, RetryAfter: time.Second}, time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, again := newBudget(DefaultSettings()).Again(c.attempt, c.left)
+			require.Equal(t, c.again, again)
+		})
+	}
+}
+
+// chain counts the leaf calls that one call causes through a chain whose last
+// service always fails, each hop retrying on its own.
+func chain(budgets []*Budget, hop int, repeated bool) int {
+	if hop == len(budgets) {
+		return 1
+	}
+	leaves := 0
+	budgets[hop].Call(repeated)
+	for tries := 1; ; tries++ {
+		leaves += chain(budgets, hop+1, repeated || tries > 1)
+		attempt := Attempt{Idempotent: true, Repeated: repeated, Tries: tries}
+		if _, again := budgets[hop].Again(attempt, time.Second); !again {
+			return leaves
+		}
+	}
+}
+
+// amplification is the leaf calls for each call through a chain.
+func amplification(depth, calls int, settings Settings) float64 {
+	var budgets []*Budget
+	for range depth {
+		budgets = append(budgets, newBudget(settings))
+	}
+	leaves := 0
+	for range calls {
+		leaves += chain(budgets, 0, false)
+	}
+	return float64(leaves) / float64(calls)
+}
+
+// TestAChainDoesNotMultiply bounds the work of 15 hops at the depth the users
+// have: each hop may add its own share once, never to each other's retries.
+func TestAChainDoesNotMultiply(t *testing.T) {
+	settings := DefaultSettings()
+	got := amplification(15, 3000, settings)
+	most := 1 + 15*float64(settings.BudgetPermille)/permille
+	t.Logf("15 hops: %.2f leaf calls a call, bound %.2f", got, most+0.1)
+	require.LessOrEqual(t, got, most+0.1)
+}
+
+// BenchmarkAmplification compares the budget with plain retries by depth.
+func BenchmarkAmplification(b *testing.B) {
+	for _, depth := range []int{1, 3, 5} {
+		unbounded := Settings{BudgetPermille: 3000, Burst: 1 << 30, MaxTries: 3, Backoff: 1, MaxBackoff: 1}
+		for name, settings := range map[string]Settings{"budget": DefaultSettings(), "plain": unbounded} {
+			b.Run(name, func(b *testing.B) {
+				total := 0.0
+				for b.Loop() {
+					total = amplification(depth, 200, settings)
+				}
+				b.ReportMetric(total, "leaf/call")
+				b.ReportMetric(float64(depth), "depth")
+			})
+		}
+	}
+}
