--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,220 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// peer answers each request on a connection with the next of its scripts; a
+// script is text to write, after which "close" ends the connection.
+type peer struct {
+	listener net.Listener
+	conns    atomic.Int64
+	seen     atomic.Int64
+}
+
+func newPeer(t testing.TB, answer func(conn net.Conn, path string) (keep bool)) *peer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	made := &peer{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			made.conns.Add(1)
+			go made.serve(conn, answer)
+		}
+	}()
+	return made
+}
+
+func (peer *peer) serve(conn net.Conn, answer func(conn net.Conn, path string) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		var request fasthttp.Request
+		if err := request.Read(reader); err != nil {
+			return
+		}
+		peer.seen.Add(1)
+		if !answer(conn, string(request.URI().Path())) {
+			return
+		}
+	}
+}
+
+func (peer *peer) address() string { return peer.listener.Addr().String() }
+
+func get(t testing.TB, pools *Pools, address, path string, within time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.SetRequestURI("http://" + address + path)
+	err := pools.Do(ctx, address, &request, &response)
+	return string(response.Body()), err
+}
+
+func sent(t testing.TB, err error) bool {
+	var exchange *ExchangeError
+	require.ErrorAs(t, err, &exchange)
+	return exchange.Sent
+}
+
+func newPools() *Pools { return New(DefaultSettings(), time.Now) }
+
+func TestACutAnswerIsAnError(t *testing.T) {
+	answers := map[string]string{
+		"/length":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this",
+		"/chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"/headers": "HTTP/1.1 200 OK\r\nContent-Le",
+		"/nothing": "",
+		"/endless": "HTTP/1.1 200 OK\r\n\r\nno length at all",
+	}
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		_, _ = io.WriteString(conn, answers[path])
+		return false
+	})
+	for path := range answers {
+		_, err := get(t, newPools(), peer.address(), path, time.Second)
+		require.Error(t, err, path)
+		require.True(t, sent(t, err), "%s may have run", path)
+	}
+}
+
+func TestAWholeChunkedAnswerIsReused(t *testing.T) {
+	peer := newPeer(t, func(conn net.Conn, _ string) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+		return true
+	})
+	pools := newPools()
+	for range 5 {
+		body, err := get(t, pools, peer.address(), "/", time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "hello", body)
+	}
+	require.EqualValues(t, 1, peer.conns.Load())
+}
+
+// TestALateAnswerIsNotTheNextOnes leaves a call before its answer comes; the
+// next call on the pool must get its own.
+func TestALateAnswerIsNotTheNextOnes(t *testing.T) {
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		if path == "/slow" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+		return err == nil
+	})
+	pools := newPools()
+	_, err := get(t, pools, peer.address(), "/first", time.Second)
+	require.NoError(t, err)
+	_, err = get(t, pools, peer.address(), "/slow", 20*time.Millisecond)
+	require.Error(t, err)
+	var group sync.WaitGroup
+	for i := range 20 {
+		group.Go(func() {
+			path := fmt.Sprintf("/own-%d", i)
+			body, err := get(t, pools, peer.address(), path, time.Second)
+			if err != nil || body != path {
+				t.Errorf("%s got %q, %v", path, body, err)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+}
+
+// TestAnExtraAnswerIsNotTheNextOnes has the peer send two answers for one
+// request.
+func TestAnExtraAnswerIsNotTheNextOnes(t *testing.T) {
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+		_, err := io.WriteString(conn, strings.Repeat(answer, 2))
+		return err == nil
+	})
+	pools := newPools()
+	for i := range 10 {
+		path := fmt.Sprintf("/own-%d", i)
+		body, err := get(t, pools, peer.address(), path, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, path, body)
+	}
+}
+
+func TestAClosedIdleConnectionIsNotUsed(t *testing.T) {
+	peer := newPeer(t, func(conn net.Conn, _ string) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return false
+	})
+	pools := newPools()
+	for range 5 {
+		_, err := get(t, pools, peer.address(), "/", time.Second)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestNothingSentIsKnown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = get(t, newPools(), address, "/", time.Second)
+	require.False(t, sent(t, err))
+
+	// A full pool ends as waiting, then as not sent.
+	peer := newPeer(t, func(net.Conn, string) bool { time.Sleep(time.Second); return false })
+	settings := DefaultSettings()
+	settings.MaxConns = 1
+	pools := New(settings, time.Now)
+	go func() { _, _ = get(t, pools, peer.address(), "/", time.Second) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = get(t, pools, peer.address(), "/", 50*time.Millisecond)
+	require.False(t, sent(t, err))
+	require.EqualValues(t, 1, peer.seen.Load())
+}
+
+func TestWatchCallerSeesTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	far, err := listener.Accept()
+	require.NoError(t, err)
+
+	ctx, stop := WatchCaller(context.Background(), far)
+	stop()
+	require.False(t, errors.Is(context.Cause(ctx), ErrCallerLeft))
+	_, err = near.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = far.Read(make([]byte, 1))
+	require.NoError(t, err, "the connection reads on after a watch")
+
+	ctx, stop = WatchCaller(context.Background(), far)
+	defer stop()
+	require.NoError(t, near.Close())
+	select {
+	case <-ctx.Done():
+		require.ErrorIs(t, context.Cause(ctx), ErrCallerLeft)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the end was not seen")
+	}
+}
