--- /dev/null
+++ b/internal/cmds/fleet_test.go
@@ -0,0 +1,199 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// measured is what one process used over an interval.
+type measured struct {
+	cpuPercent float64
+	memory     float64
+	bytes      float64
+}
+
+// BenchmarkFleet runs real processes at three sizes and reports what a node
+// and a control VM use, at rest and with a change every second. It needs Linux.
+func BenchmarkFleet(b *testing.B) {
+	program := filepath.Join(b.TempDir(), "vpd")
+	build := exec.Command("go", "build", "-o", program, "github.com/vanillapulley/vanillapulley/cmd/vpd")
+	output, err := build.CombinedOutput()
+	require.NoError(b, err, string(output))
+	for _, size := range []int{20, 40, 80} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			fleet := startFleet(b, program, size)
+			for b.Loop() {
+				fleet.measure(b, "rest", 8*time.Second, 0)
+				fleet.measure(b, "busy", 8*time.Second, 8)
+			}
+		})
+	}
+}
+
+type processes struct {
+	api      string
+	controls []*exec.Cmd
+	nodes    []*exec.Cmd
+	scrapes  map[*exec.Cmd]string
+	changes  int
+}
+
+func startFleet(b *testing.B, program string, size int) *processes {
+	folder := b.TempDir()
+	fleet := &processes{scrapes: map[*exec.Cmd]string{}}
+	var links, apis []string
+	for range 3 {
+		links, apis = append(links, freePort()), append(apis, freePort())
+	}
+	fleet.api = apis[0]
+	for i := range 3 {
+		name := fmt.Sprintf("c%d", i+1)
+		peers := append(append([]string{}, links[:i]...), links[i+1:]...)
+		settings := map[string]any{"name": name, "zone": zone(i), "data": name, "api": apis[i], "link": links[i], "peers": peers, "replicas": 3}
+		args := []string{"control", "-s", writeSettings(b, folder, name, settings)}
+		if i == 0 {
+			args = append(args, "--init")
+		}
+		process := startProcess(b, program, args...)
+		fleet.controls = append(fleet.controls, process)
+		fleet.scrapes[process] = apis[i]
+	}
+	for i := range size {
+		name := fmt.Sprintf("n%d", i+1)
+		admin := freePort()
+		settings := map[string]any{"name": name, "zone": zone(i), "callers": freePort(), "gate": freePort(), "link": freePort(), "admin": admin, "control": links}
+		process := startProcess(b, program, "node", "-s", writeSettings(b, folder, name, settings))
+		fleet.nodes = append(fleet.nodes, process)
+		fleet.scrapes[process] = admin
+	}
+	fleet.change(b, `{"resources":[{"kind":"service","name":"s"},{"kind":"version","name":"s/v1"},{"kind":"route","name":"r","spec":{"service":"s","prefix":"/","version":"v1"}}]}`)
+	require.Eventually(b, func() bool {
+		var status struct{ Nodes, InForce, Version int }
+		response, err := http.Get("http://" + fleet.api + "/v1/status")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		return json.NewDecoder(response.Body).Decode(&status) == nil && status.Nodes == size && status.InForce == status.Version
+	}, 60*time.Second, 100*time.Millisecond)
+	time.Sleep(5 * time.Second)
+	return fleet
+}
+
+func writeSettings(b *testing.B, folder, name string, settings map[string]any) string {
+	data, err := json.Marshal(settings)
+	require.NoError(b, err)
+	file := filepath.Join(folder, name+".json")
+	require.NoError(b, os.WriteFile(file, data, 0o644))
+	return file
+}
+
+func startProcess(b *testing.B, program string, args ...string) *exec.Cmd {
+	process := exec.Command(program, args...)
+	require.NoError(b, process.Start())
+	b.Cleanup(func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+	})
+	return process
+}
+
+func (fleet *processes) change(b *testing.B, body string) {
+	require.Eventually(b, func() bool {
+		response, err := http.Post("http://"+fleet.api+"/v1/apply", "application/json", strings.NewReader(body))
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode == http.StatusOK
+	}, 30*time.Second, 200*time.Millisecond)
+}
+
+// measure reports the mean and the worst node, and the worst control VM.
+func (fleet *processes) measure(b *testing.B, label string, duration time.Duration, changes int) {
+	begin := map[*exec.Cmd][2]float64{}
+	for process, address := range fleet.scrapes {
+		begin[process] = [2]float64{cpuSeconds(b, process), scrape(b, address)}
+	}
+	for range changes {
+		fleet.changes++
+		fleet.change(b, fmt.Sprintf(`{"resources":[{"kind":"version","name":"s/w%d"}]}`, fleet.changes))
+		time.Sleep(duration / time.Duration(changes))
+	}
+	if changes == 0 {
+		time.Sleep(duration)
+	}
+	use := func(process *exec.Cmd) measured {
+		return measured{
+			cpuPercent: (cpuSeconds(b, process) - begin[process][0]) / duration.Seconds() * 100,
+			memory:     memoryMB(b, process),
+			bytes:      (scrape(b, fleet.scrapes[process]) - begin[process][1]) / duration.Seconds(),
+		}
+	}
+	report := func(role string, group []*exec.Cmd) {
+		var worst, total measured
+		for _, process := range group {
+			used := use(process)
+			worst.cpuPercent, total.cpuPercent = max(worst.cpuPercent, used.cpuPercent), total.cpuPercent+used.cpuPercent
+			worst.memory = max(worst.memory, used.memory)
+			worst.bytes, total.bytes = max(worst.bytes, used.bytes), total.bytes+used.bytes
+		}
+		count := float64(len(group))
+		b.ReportMetric(total.cpuPercent/count, role+"-"+label+"-mean-cpu%")
+		b.ReportMetric(worst.cpuPercent, role+"-"+label+"-worst-cpu%")
+		b.ReportMetric(worst.memory, role+"-"+label+"-MB")
+		b.ReportMetric(total.bytes/count, role+"-"+label+"-mean-B/s")
+		b.ReportMetric(worst.bytes, role+"-"+label+"-worst-B/s")
+	}
+	report("node", fleet.nodes)
+	report("control", fleet.controls)
+}
+
+// cpuSeconds reads the processor time a process has used; the clock's tick is
+// 10 ms.
+func cpuSeconds(b *testing.B, process *exec.Cmd) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.Process.Pid))
+	require.NoError(b, err)
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / 100
+}
+
+var residentPattern = regexp.MustCompile(`VmRSS:\s+(\d+) kB`)
+
+func memoryMB(b *testing.B, process *exec.Cmd) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Process.Pid))
+	require.NoError(b, err)
+	kilobytes, _ := strconv.ParseFloat(string(residentPattern.FindSubmatch(data)[1]), 64)
+	return kilobytes / 1024
+}
+
+var trafficPattern = regexp.MustCompile(`(?m)^vp_control_(?:sent|received)_bytes (\S+)$`)
+
+// scrape returns the control bytes sent and received so far.
+func scrape(b *testing.B, address string) float64 {
+	response, err := http.Get("http://" + address + "/metrics")
+	require.NoError(b, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(b, err)
+	total := 0.0
+	for _, match := range trafficPattern.FindAllSubmatch(data, -1) {
+		value, _ := strconv.ParseFloat(string(match[1]), 64)
+		total += value
+	}
+	return total
+}
