--- a/internal/cmds/fleet_test.go
+++ b/internal/cmds/fleet_test.go
@@ -25,14 +25,14 @@
 	bytes      float64
 }
 
-// BenchmarkFleet runs real processes at three sizes and reports what a node
+// BenchmarkFleet runs real processes at four sizes and reports what a node
 // and a control VM use, at rest and with a change every second. It needs Linux.
 func BenchmarkFleet(b *testing.B) {
 	program := filepath.Join(b.TempDir(), "vpd")
 	build := exec.Command("go", "build", "-o", program, "github.com/vanillapulley/vanillapulley/cmd/vpd")
 	output, err := build.CombinedOutput()
 	require.NoError(b, err, string(output))
-	for _, size := range []int{20, 40, 80} {
+	for _, size := range []int{20, 40, 80, 160} {
 		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
 			fleet := startFleet(b, program, size)
 			for b.Loop() {
