--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -19,7 +19,6 @@
 	witnesses map[string]*Witness
 	// placements holds the current one first; views may lag by one change.
 	placements [][]string
-	changed    time.Time
 	runs       map[string]int
 	variant    string
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -171,7 +170,7 @@
 	gate := New(12, 64)
 	b.ReportAllocs()
 	for b.Loop() {
-		ticket := NewTicket(fmt.Sprint("customer"), now.Add(time.Second), nil)
+		ticket := NewTicket("customer", now.Add(time.Second), nil)
 		gate.Arrive(now, ticket)
 		gate.Done(now, time.Millisecond)
 	}
