Reads leave a bad version at once; a command-line reference; less written twice

Ruled out: moving keyed or other calls to the old version, which must come to the version of their first try.

--- /dev/null
+++ b/internal/cmds/reference_test.go
@@ -0,0 +1,34 @@
+package cmds
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	docs "github.com/urfave/cli-docs/v3"
+)
+
+var update = flag.Bool("update", false, "write the command-line reference anew")
+
+// TestReference keeps docs/CLI.md equal to what the commands say of themselves.
+func TestReference(t *testing.T) {
+	text := "# Command-line reference\n\nMade from the commands by `go test ./internal/cmds -run TestReference -update`.\n"
+	for _, command := range []func() (string, error){
+		func() (string, error) { return docs.ToTabularMarkdown(Daemon(), "vpd") },
+		func() (string, error) { return docs.ToTabularMarkdown(Operator(), "vpctl") },
+	} {
+		part, err := command()
+		require.NoError(t, err)
+		text += "\n" + part
+	}
+	text += "\n## Exit codes\n\n```\n" + exitCodesHelp + "\n```\n"
+	file := filepath.Join("..", "..", "docs", "CLI.md")
+	if *update {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o644))
+	}
+	held, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, text, string(held), "run the test with -update")
+}
--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -48,6 +48,8 @@
 			"unload":     cmdUnload,
 			"damage":     cmdDamage,
 			"capture":    cmdCapture,
+			"port":       cmdPort,
+			"fetch":      cmdFetch,
 		},
 	})
 }
@@ -251,6 +253,16 @@
 	ts.Setenv(args[0], string(match[1]))
 }
 
+// cmdPort sets a variable to a free address: port VARIABLE.
+func cmdPort(ts *testscript.TestScript, _ bool, args []string) { ts.Setenv(args[0], freePort()) }
+
+// cmdFetch sets a variable to the body of an answer: fetch VARIABLE ADDRESS PATH.
+func cmdFetch(ts *testscript.TestScript, _ bool, args []string) {
+	seen := sendCall(context.Background(), args[1], "GET", args[2], nil)
+	ts.Check(seen.err)
+	ts.Setenv(args[0], seen.body)
+}
+
 // cmdKey sets a variable to a new idempotency key: key VARIABLE.
 func cmdKey(ts *testscript.TestScript, _ bool, args []string) {
 	id, err := uuid.NewV7()
--- a/internal/cmds/vpctl.go
+++ b/internal/cmds/vpctl.go
@@ -66,6 +66,20 @@
 	return trace.Wrap(encoder.Encode(value))
 }
 
+// show reads from the API and prints the answer as JSON or as the given rows.
+func show[T any](ctx context.Context, c *cli.Command, path string, rows func(answer T) []string) error {
+	api, bounded, cancel := connect(ctx, c)
+	defer cancel()
+	var answer T
+	if err := api.Get(bounded, path, &answer); err != nil {
+		return err
+	}
+	if wantsJSON(c) {
+		return printJSON(c, answer)
+	}
+	return table(c, rows(answer))
+}
+
 func wantsJSON(c *cli.Command) bool { return c.String("output") == "json" }
 
 // table prints rows of tab-separated columns.
@@ -159,26 +173,14 @@
 		Description: "Examples: vpctl get; vpctl get route; vpctl get -o json rollout timetable",
 		Flags:       []cli.Flag{outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			api, bounded, cancel := connect(ctx, c)
-			defer cancel()
-			path := "/v1/resources"
-			for _, argument := range c.Args().Slice() {
-				path += "/" + argument
-			}
-			var list wire.ResourceList
-			if err := api.Get(bounded, path, &list); err != nil {
-				return err
-			}
-			if wantsJSON(c) {
-				return printJSON(c, list)
-			}
-			return table(c, append([]string{"KIND\tNAME\tREVISION\tSPEC"}, rowsOf(list)...))
+			path := strings.Join(append([]string{"/v1/resources"}, c.Args().Slice()...), "/")
+			return show(ctx, c, path, rowsOf)
 		},
 	}
 }
 
 func rowsOf(list wire.ResourceList) []string {
-	rows := make([]string, 0, len(list.Resources))
+	rows := []string{"KIND\tNAME\tREVISION\tSPEC"}
 	for _, resource := range list.Resources {
 		spec := string(resource.Spec)
 		if line, ok := rolloutLine(resource); ok {
@@ -378,56 +380,46 @@
 		Usage: "list the nodes and what is beside them",
 		Flags: []cli.Flag{outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			api, bounded, cancel := connect(ctx, c)
-			defer cancel()
-			var list wire.MemberList
-			if err := api.Get(bounded, "/v1/members", &list); err != nil {
-				return err
-			}
-			if wantsJSON(c) {
-				return printJSON(c, list)
-			}
-			rows := []string{"NAME\tZONE\tSTATE\tSERVICE\tVERSION\tSLOTS\tGATE"}
-			for _, member := range list.Members {
-				rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%s", member.Name, member.Zone, member.State, member.Service, member.Version, member.Slots, member.Gate))
-			}
-			return table(c, rows)
+			return show(ctx, c, "/v1/members", memberRows)
 		},
 	}
 }
 
+func memberRows(list wire.MemberList) []string {
+	rows := []string{"NAME\tZONE\tSTATE\tSERVICE\tVERSION\tSLOTS\tGATE"}
+	for _, member := range list.Members {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%s", member.Name, member.Zone, member.State, member.Service, member.Version, member.Slots, member.Gate))
+	}
+	return rows
+}
+
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
 		Usage: "tell who leads, which version is accepted and which is in force everywhere",
 		Flags: []cli.Flag{outputFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			api, bounded, cancel := connect(ctx, c)
-			defer cancel()
-			var status wire.Status
-			if err := api.Get(bounded, "/v1/status", &status); err != nil {
-				return err
-			}
-			if wantsJSON(c) {
-				return printJSON(c, status)
-			}
-			rows := []string{
-				fmt.Sprintf("leader\t%s (term %d)", status.Leader, status.Term),
-				fmt.Sprintf("accepted version\t%d", status.Version),
-				fmt.Sprintf("in force on all %d nodes\t%d", status.Nodes, status.InForce),
-			}
-			for _, replica := range status.Replicas {
-				role := "learner"
-				if replica.Voter {
-					role = "voter"
-				}
-				rows = append(rows, fmt.Sprintf("%s %s\t%s %s", role, replica.Name, replica.ID, replica.Address))
-			}
-			return table(c, rows)
+			return show(ctx, c, "/v1/status", statusRows)
 		},
 	}
 }
 
+func statusRows(status wire.Status) []string {
+	rows := []string{
+		fmt.Sprintf("leader\t%s (term %d)", status.Leader, status.Term),
+		fmt.Sprintf("accepted version\t%d", status.Version),
+		fmt.Sprintf("in force on all %d nodes\t%d", status.Nodes, status.InForce),
+	}
+	for _, replica := range status.Replicas {
+		role := "learner"
+		if replica.Voter {
+			role = "voter"
+		}
+		rows = append(rows, fmt.Sprintf("%s %s\t%s %s", role, replica.Name, replica.ID, replica.Address))
+	}
+	return rows
+}
+
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "check",
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	if _, err := control.replica.Fresh(ctx); err != nil {
-		refuse(request, fasthttp.StatusServiceUnavailable, wire.APIError{Code: wire.CodeUnavailable, Reason: err.Error()})
+		unavailable(request, err)
 		return true
 	}
 	if !control.replica.known(command.RequestID) {
@@ -173,21 +173,44 @@
 	control.run(ctx, request, command)
 }
 
-func (control *Control) startRollout(ctx context.Context, request *fasthttp.RequestCtx) {
-	var body wire.RolloutRequest
-	if err := wire.Strict(request.PostBody(), &body); err != nil {
+// order is an operator's request about a rollout, with what it is based on.
+type order[T any] struct {
+	body    T
+	command wire.Command
+	config  *rsrc.Config
+}
+
+// readOrder decodes a request and reads a fresh configuration. It returns false
+// when the request has its answer already.
+func readOrder[T any](ctx context.Context, control *Control, request *fasthttp.RequestCtx) (order[T], bool) {
+	var read order[T]
+	if err := wire.Strict(request.PostBody(), &read.body); err != nil {
 		invalid(request, err)
-		return
+		return read, false
 	}
-	command := control.command(request)
-	if control.answered(ctx, request, command) {
-		return
+	read.command = control.command(request)
+	if control.answered(ctx, request, read.command) {
+		return read, false
 	}
 	config, err := control.replica.Fresh(ctx)
 	if err != nil {
-		refuse(request, fasthttp.StatusServiceUnavailable, wire.APIError{Code: wire.CodeUnavailable, Reason: err.Error()})
+		unavailable(request, err)
+		return read, false
+	}
+	read.config = config
+	return read, true
+}
+
+func unavailable(request *fasthttp.RequestCtx, err error) {
+	refuse(request, fasthttp.StatusServiceUnavailable, wire.APIError{Code: wire.CodeUnavailable, Reason: err.Error()})
+}
+
+func (control *Control) startRollout(ctx context.Context, request *fasthttp.RequestCtx) {
+	order, ok := readOrder[wire.RolloutRequest](ctx, control, request)
+	if !ok {
 		return
 	}
+	body, command, config := order.body, order.command, order.config
 	route, ok := config.Route(body.Route)
 	if !ok {
 		invalid(request, &rsrc.FaultError{Path: "route", Reason: "route \"" + body.Route + "\" does not exist"})
@@ -216,20 +239,11 @@
 }
 
 func (control *Control) rollback(ctx context.Context, request *fasthttp.RequestCtx) {
-	var body wire.RollbackRequest
-	if err := wire.Strict(request.PostBody(), &body); err != nil {
-		invalid(request, err)
-		return
-	}
-	command := control.command(request)
-	if control.answered(ctx, request, command) {
-		return
-	}
-	config, err := control.replica.Fresh(ctx)
-	if err != nil {
-		refuse(request, fasthttp.StatusServiceUnavailable, wire.APIError{Code: wire.CodeUnavailable, Reason: err.Error()})
+	order, ok := readOrder[wire.RollbackRequest](ctx, control, request)
+	if !ok {
 		return
 	}
+	body, command, config := order.body, order.command, order.config
 	rollout, ok := config.Rollout(body.Route)
 	if !ok || rollout.Last().State.Ended() {
 		invalid(request, &rsrc.FaultError{Path: "route", Reason: "no rollout of route \"" + body.Route + "\" is in progress"})
@@ -274,7 +288,7 @@
 func (control *Control) read(ctx context.Context, request *fasthttp.RequestCtx, rest string) {
 	config, err := control.replica.Fresh(ctx)
 	if err != nil {
-		refuse(request, fasthttp.StatusServiceUnavailable, wire.APIError{Code: wire.CodeUnavailable, Reason: err.Error()})
+		unavailable(request, err)
 		return
 	}
 	kind, name, _ := strings.Cut(strings.Trim(rest, "/"), "/")
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -258,20 +258,13 @@
 // follow makes the present leader the parent of this root, so that reports
 // come together there.
 func (control *Control) follow(ctx context.Context) error {
-	ticker := time.NewTicker(followEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return tasks.Every(ctx, followEvery, func() {
 		var parents []string
 		if leader := control.replica.leader(); leader.Address != "" && !control.replica.leads() {
 			parents = []string{leader.Address}
 		}
 		control.tree.Do(func(core *distr.Core, now time.Time) { core.SetParents(now, parents) })
-	}
+	})
 }
 
 // joinEvery is how often a replica that is no member asks again.
--- a/internal/ctrl/placer.go
+++ b/internal/ctrl/placer.go
@@ -24,14 +24,13 @@
 // active for as long as keys claimed under it may come back, and no other
 // change is made in that time. It is not safe for concurrent use.
 type placer struct {
-	now       func() time.Time
 	firstSeen time.Time
 	// missing is since when a witness has been away.
 	missing map[string]time.Time
 }
 
-func newPlacer(now func() time.Time) *placer {
-	return &placer{now: now, missing: map[string]time.Time{}}
+func newPlacer() *placer {
+	return &placer{missing: map[string]time.Time{}}
 }
 
 // next returns a changed placement, and false when none is due.
--- a/internal/ctrl/rollouts.go
+++ b/internal/ctrl/rollouts.go
@@ -11,6 +11,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/distr"
 	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/tasks"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -39,7 +40,7 @@
 		log:         control.logs.Layer("rollout"),
 		timing:      rolloutTiming(control.settings.Rollout),
 		controllers: map[string]*running{},
-		placer:      newPlacer(control.now),
+		placer:      newPlacer(),
 	}
 }
 
@@ -57,21 +58,14 @@
 }
 
 func (rollouts *rollouts) run(ctx context.Context) error {
-	ticker := time.NewTicker(decideEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return tasks.Every(ctx, decideEvery, func() {
 		if !rollouts.control.replica.leads() {
 			clear(rollouts.controllers)
-			continue
+			return
 		}
 		rollouts.decide(ctx)
 		rollouts.place(ctx)
-	}
+	})
 }
 
 // decide lets every controller look at what was observed since the last time.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -44,8 +44,10 @@
 	// failed is the latest error answer of an upstream, kept in case no later
 	// try does better.
 	failed *fasthttp.Response
-	tried  []string
-	tries  int
+	// version is the one that the next try goes to.
+	version string
+	tried   []string
+	tries   int
 }
 
 // answer tells the caller how a call without an upstream's answer ended.
@@ -176,16 +178,17 @@
 // run tries targets until there is an answer for the caller.
 func (node *Node) run(ctx context.Context, call *call) {
 	version, rollout := node.chooseVersion(call)
+	call.version = version
 	node.lock.Lock()
 	node.budget.Call(call.repeated)
 	if rollout != nil && node.picker.Count(call.route.Service(), version) == 0 {
-		version = otherVersion(*rollout, version)
+		call.version = otherVersion(*rollout, version)
 	}
 	node.lock.Unlock()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	for {
-		again := node.try(ctx, call, version, rollout, response)
+		again := node.try(ctx, call, rollout, response)
 		if again < 0 {
 			return
 		}
@@ -208,7 +211,8 @@
 
 // try sends the call to one target. It returns the pause before the next try,
 // or noRetry when the caller has its answer.
-func (node *Node) try(ctx context.Context, call *call, version string, rollout *rsrc.Rollout, response *fasthttp.Response) time.Duration {
+func (node *Node) try(ctx context.Context, call *call, rollout *rsrc.Rollout, response *fasthttp.Response) time.Duration {
+	version := call.version
 	started := node.now()
 	call.tries++
 	node.lock.Lock()
@@ -231,12 +235,21 @@
 	if pause, again := node.again(ctx, call, result); again {
 		node.stats.Count("vp_retries_total", 1)
 		call.keep(result, response)
+		call.avoid(rollout)
 		return pause
 	}
 	node.deliver(ctx, call, result, response)
 	return noRetry
 }
 
+// avoid sends the next try of a read that the new version did not answer well
+// to the old one, so that fewer callers are hurt while the evidence comes in.
+func (call *call) avoid(rollout *rsrc.Rollout) {
+	if rollout != nil && call.class == classRead && call.version == rollout.To() {
+		call.version = rollout.From()
+	}
+}
+
 // keep remembers an upstream's error answer before another try.
 func (call *call) keep(result result, response *fasthttp.Response) {
 	if result.outcome != proxy.OutcomeRan {
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -12,6 +12,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/tasks"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
 
@@ -101,16 +102,7 @@
 
 // run looks at the evidence and passes the counts on, until the context ends.
 func (guard *guard) run(ctx context.Context) error {
-	ticker := time.NewTicker(guardEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			guard.look()
-		}
-	}
+	return tasks.Every(ctx, guardEvery, guard.look)
 }
 
 func (guard *guard) look() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,17 +249,10 @@
 
 // keepBooks updates the picker's targets and looks at leases and deadlines.
 func (node *Node) keepBooks(ctx context.Context) error {
-	ticker := time.NewTicker(bookkeeping)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return tasks.Every(ctx, bookkeeping, func() {
 		node.updateTargets()
 		node.gate.expire()
-	}
+	})
 }
 
 func (node *Node) updateTargets() {
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -136,15 +136,20 @@
 }
 
 func (upstream *Upstream) handle(request *fasthttp.RequestCtx) {
-	if string(request.Path()) == "/sample/runs" {
+	switch string(request.Path()) {
+	case "/sample/runs":
 		key := string(request.QueryArgs().Peek("key"))
 		request.SetBodyString(strconv.Itoa(upstream.Runs(key)))
-		return
-	}
-	if string(request.Path()) == "/sample/canceled" {
+	case "/sample/canceled":
 		request.SetBodyString(strconv.FormatInt(upstream.canceled.Load(), 10))
-		return
+	case "/sample/calls":
+		request.SetBodyString(strconv.Itoa(upstream.Calls()))
+	default:
+		upstream.call(request)
 	}
+}
+
+func (upstream *Upstream) call(request *fasthttp.RequestCtx) {
 	upstream.calls.Add(1)
 	if key := string(request.Request.Header.Peek(proxy.HeaderKey)); key != "" {
 		upstream.lock.Lock()
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,62 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+)
+
+func put(id string, content, revision uint64, name string) []byte {
+	key := wire.Key{Kind: "service", Name: name}
+	return wire.Must(wire.Command{
+		RequestID: id,
+		Content:   content,
+		At:        time.Unix(1000, 0),
+		Expect:    []wire.Expect{{Key: key, Revision: revision}},
+		Put:       []wire.Resource{{Kind: key.Kind, Name: key.Name}},
+	})
+}
+
+func apply(t *testing.T, store *Store, index uint64, data []byte) wire.Result {
+	result, err := store.Apply(index, data)
+	require.NoError(t, err)
+	return result
+}
+
+func TestAResendGetsTheFirstAnswer(t *testing.T) {
+	store := New()
+	first := apply(t, store, 3, put("a", 1, 0, "s"))
+	require.Equal(t, wire.Result{Code: wire.CodeOK, Version: 3}, first)
+	require.Equal(t, wire.CodeOK, apply(t, store, 4, put("b", 2, 3, "s")).Code)
+	require.Equal(t, first, apply(t, store, 5, put("a", 1, 0, "s")))
+	require.Equal(t, uint64(4), store.Config().Version(), "the resend changed nothing")
+	require.Equal(t, wire.CodeReused, apply(t, store, 6, put("a", 9, 0, "s")).Code)
+}
+
+func TestTwoOperatorsWithEqualNumbers(t *testing.T) {
+	store := New()
+	apply(t, store, 3, put("a", 1, 0, "s"))
+	require.Equal(t, wire.CodeOK, apply(t, store, 4, put("b", 2, 3, "s")).Code)
+	refused := apply(t, store, 5, put("c", 3, 3, "s"))
+	require.Equal(t, wire.CodeConflict, refused.Code)
+	require.Equal(t, refused, apply(t, store, 6, put("c", 3, 3, "s")), "a refusal is remembered too")
+}
+
+func TestASnapshotCarriesEverything(t *testing.T) {
+	store := New()
+	for i := range uint64(MaxAnswered + 10) {
+		apply(t, store, i+1, put(fmt.Sprint(i), i, 0, fmt.Sprintf("s%d", i%7)))
+	}
+	require.Len(t, store.answered, MaxAnswered)
+	copied := New()
+	require.NoError(t, copied.Restore(store.Snapshot()))
+	require.Equal(t, store.Snapshot(), copied.Snapshot())
+	require.Equal(t, store.Config().Digest(), copied.Config().Digest())
+	require.Error(t, store.Restore([]byte("{}")), "an older state does not replace a newer one")
+	_, known := copied.Answer("0")
+	require.False(t, known, "the oldest answers are forgotten first")
+}
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // End tells that a task is over. Err is nil for a planned end.
@@ -40,3 +41,18 @@
 
 // Wait returns when every task has ended.
 func (group *Group) Wait() { group.running.Wait() }
+
+// Every runs a function once in each period until the context ends. It is the
+// body of a task that never fails.
+func Every(ctx context.Context, period time.Duration, run func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			run()
+		}
+	}
+}
