--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -289,6 +289,7 @@
 		NotRun:     result.outcome == proxy.OutcomeNotRun,
 		Repeated:   call.repeated,
 		Tries:      call.tries,
+		RetryAfter: result.retryAfter,
 	}, deadline.Sub(node.now()))
 }
 
@@ -328,6 +329,8 @@
 	load    *picker.Load
 	// final forbids another try.
 	final bool
+	// retryAfter is the pause that an upstream asked for.
+	retryAfter time.Duration
 }
 
 // judge tells how a try ended. Only the gate's own word, or the certainty
@@ -346,6 +349,7 @@
 	case proxy.OutcomeRan:
 		if response.StatusCode() >= fasthttp.StatusInternalServerError {
 			judged.learned = picker.ResultFailed
+			judged.retryAfter = retryAfter(response)
 		}
 	case proxy.OutcomeNotRun:
 		judged.learned = picker.ResultRefused
@@ -357,6 +361,15 @@
 	return judged
 }
 
+// retryAfter reads the pause an upstream asks for, if it names seconds.
+func retryAfter(response *fasthttp.Response) time.Duration {
+	seconds, err := strconv.Atoi(string(response.Header.Peek("Retry-After")))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 func judgeLost(ctx context.Context, exchange *proxy.ExchangeError) result {
 	lost := result{outcome: proxy.OutcomeUnknown, reason: exchange.Err.Error(), learned: picker.ResultFailed}
 	if !exchange.Sent {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -174,11 +174,15 @@
 
 // cost is the expected wait of one more call; lower is better.
 func (state *state) cost(now time.Time) float64 {
-	age := now.Sub(state.since)
-	warm := min(1, max(slowStartMinimum, age.Seconds()/slowStart.Seconds()))
 	latency := state.decayed(now)
 	slots := max(1, state.target.Slots)
-	return latency * (1 + float64(state.busy(now))/float64(slots)*2) * float64(state.inFlight+1) / warm
+	return latency * (1 + float64(state.busy(now))/float64(slots)*2) * float64(state.inFlight+1)
+}
+
+// warmth is the part of its even share that a target may get, which rises from
+// its first appearance on.
+func (state *state) warmth(now time.Time) float64 {
+	return min(1, max(slowStartMinimum, now.Sub(state.since).Seconds()/slowStart.Seconds()))
 }
 
 // decayed lets an old high latency fade, so that a target that was slow is
@@ -197,10 +201,14 @@
 	if j >= i {
 		j++
 	}
-	if candidates[j].cost(now) < candidates[i].cost(now) {
-		return candidates[j]
+	better, other := candidates[i], candidates[j]
+	if other.cost(now) < better.cost(now) {
+		better, other = other, better
+	}
+	if picker.random.Float64() > better.warmth(now) && other.warmth(now) > better.warmth(now) {
+		return other
 	}
-	return candidates[i]
+	return better
 }
 
 // Done ends a call and learns from it. Load is nil when the answer said
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -149,6 +149,25 @@
 	require.Greater(t, zones["b"]+zones["c"], 20, "a full zone passes calls on")
 }
 
+// TestAColdTargetStartsSlowly wants a target that has just come to get less than
+// its even share at first.
+func TestAColdTargetStartsSlowly(t *testing.T) {
+	_, _, picker := withPicker(7)
+	now := time.Unix(1000, 0)
+	more := append(targets(7), Target{Name: "cold", Zone: "a", Service: "s", Version: "v", Slots: 12})
+	picker.SetTargets(now, more)
+	counts := map[string]int{}
+	for range 800 {
+		target, _ := picker.Pick(now, "s", "v", nil)
+		counts[target.Name]++
+		picker.Done(now, target.Name, ResultGood, 10*time.Millisecond, nil)
+		now = now.Add(time.Millisecond)
+	}
+	t.Logf("the cold target got %d of 800 calls in its first 0.8 s", counts["cold"])
+	require.Less(t, counts["cold"], 50)
+	require.Positive(t, counts["cold"], "it must not starve")
+}
+
 func TestAStaleLoadCountsAsUnknown(t *testing.T) {
 	_, _, picker := withPicker(2)
 	now := time.Unix(1000, 0)
