Reads whose upstream died are read again

Cause: drain.txtar, extended by kill -9 of an upstream under load, showed 6 of 402 reads answered 'unknown' though another target was there: an unknown outcome ended every call, also those that may be repeated. Ruled out: the retry budget (denied none); target choice. Change: unknown is final for keyed calls only; a keyed call's error answer is no longer asked for again, since its replay is the same.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -277,8 +277,12 @@
 
 // again asks the retry budget for another try.
 func (node *Node) again(ctx context.Context, call *call, result result) (time.Duration, bool) {
-	good := result.outcome == proxy.OutcomeRan && result.learned != picker.ResultFailed
-	if good || result.final || ctx.Err() != nil {
+	// A keyed call's answer stays the same however often it is asked for.
+	good := result.outcome == proxy.OutcomeRan && (result.learned != picker.ResultFailed || call.class == classKeyed)
+	// An unknown outcome is final for a keyed call; a read may simply be read
+	// again.
+	final := result.final && (call.class != classRead || result.outcome != proxy.OutcomeUnknown)
+	if good || final || ctx.Err() != nil {
 		return 0, false
 	}
 	deadline, _ := ctx.Deadline()
