Guards leave the leader time to decide

All three nodes' guards had stopped within a second, so that the leader got failures from fewer than three blocks of time, whose gain is bounded, and then none. Ruled out: lost observations (the canary step shows traffic was reported); an unbounded gain, which rolled good versions back in the demo; the leader trusting one guard, since 480 guards at 1 in 1,000 each are often wrong. Change: a guard waits 3 s for the leader after its own evidence is in.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -26,12 +26,19 @@
 	evidence *canary.Evidence
 	before   distr.Observation
 	after    distr.Observation
+	// badSince is when this node's own evidence was first in, or zero.
+	badSince time.Time
 	// tripped keeps the new version's share at zero for this epoch.
 	tripped bool
 }
 
+// guardGrace is how long a node waits for the leader to act on what this node
+// has seen and reported. A node that stopped at once would take the leader's
+// evidence away: it needs failures from several blocks of time.
+const guardGrace = 3 * time.Second
+
 // guard watches the rollouts from this node alone. It only ever lowers a new
-// version's share, at once and without asking. Its lock guards byRoute.
+// version's share, without asking, when the leader has not acted in time. Its lock guards byRoute.
 type guard struct {
 	node    *Node
 	log     logr.Logger
@@ -147,6 +154,13 @@
 	if !bad || held.tripped {
 		return
 	}
+	now := guard.node.now()
+	if held.badSince.IsZero() {
+		held.badSince = now
+	}
+	if now.Sub(held.badSince) < guardGrace {
+		return
+	}
 	held.tripped = true
 	guard.node.stats.Count("vp_guard_tripped_total", 1)
 	guard.log.Info("share lowered on this node", "route", held.rollout.Route(), "to", held.rollout.To(), "cause", cause)
--- /dev/null
+++ b/internal/node/guard_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// TestTheGuardLeavesTheLeaderTimeToDecide wants a node that sees a bad version
+// to go on for as long as the leader needs to see it too, and then to stop by
+// itself. A guard that stops at once takes the leader's evidence away.
+func TestTheGuardLeavesTheLeaderTimeToDecide(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	node, err := New(Deps{Settings: nodeSettings(t, "n1"), Logs: logs.Discard(), Stats: stats.New(), Now: func() time.Time { return now }, Random: random})
+	require.NoError(t, err)
+	defer node.pool.Release()
+	rollout, err := rsrc.NewRollout("r", "v1", "v2", now.Add(time.Hour), now).Advance(rsrc.Step{State: rsrc.StateCanary, Share: 50})
+	require.NoError(t, err)
+	rollout = rollout.WithRevision(7).(rsrc.Rollout)
+
+	good := result{outcome: proxy.OutcomeRan, learned: picker.ResultGood}
+	bad := result{outcome: proxy.OutcomeRan, learned: picker.ResultFailed}
+	seen := map[time.Duration]int{}
+	for passed := time.Duration(0); passed < 6*time.Second; passed += guardEvery {
+		for range 40 {
+			node.guard.observe(rollout, "v1", good, time.Millisecond)
+		}
+		for range 3 {
+			node.guard.observe(rollout, "v2", bad, time.Millisecond)
+		}
+		node.guard.collect()
+		seen[passed] = node.guard.share(rollout)
+		now = now.Add(guardEvery)
+	}
+	require.Equal(t, 50, seen[2*time.Second], "the leader may still be deciding")
+	require.Zero(t, seen[5*time.Second], "no leader has decided")
+	next := rollout.WithRevision(9).(rsrc.Rollout)
+	require.Equal(t, 50, node.guard.share(rsrc.RestoreRollout("r", "v1", "v2", next.By(), 9, time.Time{}, next.Steps())), "another rollout starts afresh")
+}
