--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -16,9 +16,9 @@
 // forwardRetry is the pause before a request to the leader is tried again.
 const forwardRetry = 100 * time.Millisecond
 
-// ErrUnavailable means that nothing was accepted for certain: no leader could
-// be reached, or it could not reach a quorum. The same request id may be sent
-// again.
+// ErrUnavailable means that the outcome is not known here: no leader could be
+// reached, or it did not reach a quorum in time. The same request id may be
+// sent again.
 var ErrUnavailable = errors.New("no quorum of control VMs answered in time; send the request again with the same request id")
 
 // proposeHere runs a command if this replica leads.
--- a/internal/distr/distr_test.go
+++ b/internal/distr/distr_test.go
@@ -20,6 +20,11 @@
 	limitBytes    = 26_000
 )
 
+// limitSourceMessages allows the busiest control VM one update and one answer
+// to each of its 8 children and 2 fellow control VMs for a change, whatever the
+// fleet's size.
+const limitSourceMessages = 2 * (8 + 2)
+
 // TestScenarios runs the scripts of testdata/script over cores, with a clock
 // moved by hand.
 func TestScenarios(t *testing.T) {
@@ -193,6 +198,13 @@
 	t.Logf("a change every %d s: node bytes/s worst %d, mean %d; busiest root %d messages/s, %d bytes/s", pause, worst/seconds, mean/seconds, rootMessages/seconds, rootBytes/seconds)
 	require.LessOrEqual(t, worst/seconds, limitBytes)
 
+	fleet.resetCounts()
+	fleet.changeOne(changes)
+	fleet.converge(10 * time.Second)
+	_, _, rootMessages, _ = fleet.traffic()
+	t.Logf("source messages for one change: %d", rootMessages)
+	require.LessOrEqual(t, rootMessages, limitSourceMessages)
+
 	took := fleet.leave("n100", 10*time.Second)
 	t.Logf("leaving is known everywhere after %s", took)
 	require.LessOrEqual(t, took, limitLeaving)
--- /dev/null
+++ b/internal/distr/load_test.go
@@ -0,0 +1,155 @@
+package distr_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// write accepts a change and publishes it on the roots that have a quorum.
+func (fleet *fleet) write(change rsrc.Change) {
+	next, err := fleet.config.Apply(fleet.config.Version()+1, change)
+	if err != nil {
+		fleet.fail("%v", err)
+		return
+	}
+	fleet.config = next
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if node.root && !node.down && !fleet.cut[name] {
+			fleet.do(node, func(core *distr.Core) { core.Publish(next) })
+		}
+	}
+}
+
+// fill accepts a configuration of the users' size.
+func (fleet *fleet) fill(services int) {
+	change := rsrc.Change{}
+	for i := range services {
+		service := fmt.Sprintf("service-%02d", i)
+		change.Put = append(change.Put, rsrc.NewService(service, rsrc.PolicyBalanced))
+		for version := range 2 {
+			change.Put = append(change.Put, rsrc.NewVersion(service, fmt.Sprintf("v%d", version+1), 2))
+		}
+		for route := range 4 {
+			name := fmt.Sprintf("route-%02d-%d", i, route)
+			change.Put = append(change.Put, rsrc.NewRoute(name, service, "/"+name, "v1", time.Second))
+		}
+	}
+	fleet.write(change)
+}
+
+// changeOne writes one route anew.
+func (fleet *fleet) changeOne(n int) {
+	name := fmt.Sprintf("route-%02d-%d", n%20, n%4)
+	route, _ := fleet.config.Route(name)
+	version := "v1"
+	if route.Version() == "v1" {
+		version = "v2"
+	}
+	fleet.write(rsrc.Change{Put: []rsrc.Resource{route.WithVersion(version)}})
+}
+
+// behind returns how many nodes that are up do not run the accepted version.
+func (fleet *fleet) behind() int {
+	count := 0
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if !node.root && !node.down && node.core.Config().Version() < fleet.config.Version() {
+			count++
+		}
+	}
+	return count
+}
+
+// converge runs until every node has the accepted version and returns the
+// time that took, or the limit.
+func (fleet *fleet) converge(limit time.Duration) time.Duration {
+	begin := fleet.now
+	for fleet.behind() > 0 && fleet.now.Sub(begin) < limit {
+		fleet.run(10 * time.Millisecond)
+	}
+	return fleet.now.Sub(begin)
+}
+
+// unknown counts, over all nodes that are up, the members that are up but not
+// known, and the members that are down but still known as serving.
+func (fleet *fleet) unknown() int {
+	count := 0
+	for _, name := range fleet.names {
+		node := fleet.nodes[name]
+		if node.down {
+			continue
+		}
+		for _, other := range fleet.names {
+			if target := fleet.nodes[other]; !target.root {
+				record, ok := node.core.Table().Get(other)
+				serving := ok && record.State == member.StateServing
+				if serving == target.down {
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
+// leave lets a node say that it is leaving and returns how long it took until
+// every other node knew, or the limit.
+func (fleet *fleet) leave(name string, limit time.Duration) time.Duration {
+	begin := fleet.now
+	node := fleet.nodes[name]
+	fleet.do(node, func(core *distr.Core) {
+		record, _ := core.Table().Get(name)
+		record.State = member.StateLeaving
+		core.Leave(fleet.now, record)
+	})
+	for fleet.now.Sub(begin) < limit {
+		fleet.run(10 * time.Millisecond)
+		known := true
+		for _, other := range fleet.names {
+			if held := fleet.nodes[other]; !held.down {
+				record, _ := held.core.Table().Get(name)
+				known = known && record.State == member.StateLeaving
+			}
+		}
+		if known {
+			break
+		}
+	}
+	return fleet.now.Sub(begin)
+}
+
+func (fleet *fleet) resetCounts() {
+	for _, node := range fleet.nodes {
+		node.sent, node.got, node.msgs, node.updateBytes = 0, 0, 0, 0
+	}
+}
+
+// traffic returns the largest and the mean bytes sent and received by nodes,
+// and the messages and bytes sent by the busiest root.
+func (fleet *fleet) traffic() (worst, mean, rootMessages, rootBytes int) {
+	total, count := 0, 0
+	for _, node := range fleet.nodes {
+		if node.root {
+			rootMessages, rootBytes = max(rootMessages, node.msgs), max(rootBytes, node.sent)
+			continue
+		}
+		worst = max(worst, node.sent+node.got)
+		total += node.sent + node.got
+		count++
+	}
+	return worst, total / max(1, count), rootMessages, rootBytes
+}
+
+// updates returns the bytes of configuration updates sent by everybody.
+func (fleet *fleet) updates() int {
+	total := 0
+	for _, node := range fleet.nodes {
+		total += node.updateBytes
+	}
+	return total
+}
