--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -323,17 +323,19 @@
 	if core.role != RoleLeader {
 		return
 	}
-	for id, peer := range core.progress {
-		if peer.next <= core.log.last() {
-			core.sendAppend(now, id, peer)
+	for _, member := range core.log.members {
+		if peer := core.progress[member.ID]; peer != nil && peer.next <= core.log.last() {
+			core.sendAppend(now, member.ID, peer)
 		}
 	}
 }
 
 func (core *Core) broadcast(now time.Time) {
 	core.heartbeatDue = now.Add(core.timing.Heartbeat)
-	for id, peer := range core.progress {
-		core.sendAppend(now, id, peer)
+	for _, member := range core.log.members {
+		if peer := core.progress[member.ID]; peer != nil {
+			core.sendAppend(now, member.ID, peer)
+		}
 	}
 }
 
