Frozen processes of the scripts are in groups of their own

The run had been started in the background by a shell that ended at that second; the frozen process's group was then orphaned, and an orphaned group with a stopped process is sent SIGHUP. This is inferred from the times, not traced. Change: each process is started in its own group.

--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -184,6 +184,9 @@
 	ts.Check(err)
 	started := &process{cmd: command(ts, args[1:]), ended: make(chan struct{}), log: log}
 	started.cmd.Stdout, started.cmd.Stderr = log, log
+	// In a group of its own: a stopped process in an orphaned group is sent
+	// SIGHUP, as when the shell that began the tests ends before them.
+	started.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	ts.Check(started.cmd.Start())
 	go func() {
 		_ = started.cmd.Wait()
