--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -47,8 +47,42 @@
 	// Reaction is the time from badness to no more calls; it bounds the first
 	// share.
 	Reaction time.Duration
+	// Ramp lists the shares after clearance, in permille; nil means the usual
+	// ones.
+	Ramp []int
+	// Whole is true when all calls of a service move and its old targets stop
+	// at the end. Its operator has started new ones for all of the traffic, so
+	// their number does not bound the share, and the share jumps in one step:
+	// the calls of a small share decide.
+	Whole bool
 }
 
+// Parts of the time allowed for the rollout of a whole service.
+const (
+	withinDwell = 10
+	withinWatch = 5
+	// reserve is kept between the last decision and the deadline.
+	reserve = time.Second
+	// coldStart is how long new targets are slow.
+	coldStart = 3500 * time.Millisecond
+)
+
+// WithinTiming divides the time allowed for the rollout of a whole service.
+func WithinTiming(within time.Duration) Timing {
+	return Timing{
+		Dwell:    within / withinDwell,
+		Watch:    within / withinWatch,
+		Cold:     coldStart,
+		Reaction: time.Second,
+		Ramp:     []int{wholeShare, rsrc.FullShare},
+		Whole:    true,
+	}
+}
+
+// wholeShare is the share, in permille, on which the rollout of a whole service
+// is decided. It keeps the calls that a bad version gets under a tenth of all.
+const wholeShare = 80
+
 // DefaultTiming suits a fleet with a convergence time of some seconds.
 func DefaultTiming() Timing {
 	return Timing{Dwell: 6 * time.Second, Watch: 10 * time.Minute, Cold: 15 * time.Second, Reaction: 2 * time.Second}
@@ -58,8 +92,16 @@
 // time before it is cleared.
 const CallsAtRisk = 60
 
-// ramp lists the shares after clearance, in permille.
-var ramp = []int{CanaryShare, 250, 500, rsrc.FullShare}
+// usualRamp lists the shares after clearance, in permille.
+var usualRamp = []int{CanaryShare, 250, 500, rsrc.FullShare}
+
+// ramp returns the shares after clearance.
+func (controller *Controller) ramp() []int {
+	if controller.timing.Ramp != nil {
+		return controller.timing.Ramp
+	}
+	return usualRamp
+}
 
 // busyPercent is the largest use of the new version's slots that a step plans
 // for.
@@ -218,6 +260,9 @@
 		return rsrc.Step{}, false
 	}
 	share := controller.firstShare()
+	if controller.timing.Whole {
+		share = min(share, wholeShare)
+	}
 	return step(now, rsrc.StateCanary, share, controller.plan(now, input, share)), true
 }
 
@@ -251,7 +296,7 @@
 	}
 	trials := trialsToClear(controller.weight.Margin, controller.weight.Level, controller.evidence.ErrorRate())
 	total := time.Duration(0)
-	for _, next := range append([]int{share}, ramp...) {
+	for _, next := range append([]int{share}, controller.ramp()...) {
 		if next < share || next == rsrc.FullShare {
 			continue
 		}
@@ -280,7 +325,7 @@
 	overdue := !now.Before(input.Rollout.By())
 	dwelt := now.Sub(controller.stepped) >= controller.timing.Dwell
 	cleared := dwelt && controller.clear.cleared(controller.weight.Level)
-	next := nextShare(last.Share)
+	next := nextShare(controller.ramp(), last.Share)
 	limit := controller.capacity(input)
 	switch {
 	case cleared && next <= limit:
@@ -306,10 +351,14 @@
 // mustHurry reports that only the time for one more step is left and the
 // policy puts completion first.
 func (controller *Controller) mustHurry(now time.Time, input Input) bool {
-	return controller.weight.Hurry && !now.Before(input.Rollout.By().Add(-controller.timing.Dwell))
+	ahead := controller.timing.Dwell
+	if controller.timing.Whole {
+		ahead = controller.timing.Watch + reserve
+	}
+	return controller.weight.Hurry && !now.Before(input.Rollout.By().Add(-ahead))
 }
 
-func nextShare(share int) int {
+func nextShare(ramp []int, share int) int {
 	for _, next := range ramp {
 		if next > share {
 			return next
@@ -322,6 +371,9 @@
 
 // capacity is the largest share that the new version's targets can carry.
 func (controller *Controller) capacity(input Input) int {
+	if controller.timing.Whole && input.Targets > 0 {
+		return rsrc.FullShare
+	}
 	busy := controller.rate * controller.latency.Seconds()
 	limit := rsrc.FullShare
 	if carried := float64(input.Slots) * busyPercent / 100; busy > carried {
@@ -338,7 +390,12 @@
 
 // watch ends the rollout when nothing bad was seen for long enough.
 func (controller *Controller) watch(now time.Time, input Input) (rsrc.Step, bool) {
-	if now.Sub(input.Rollout.Finished()) < controller.timing.Watch {
+	since := input.Rollout.Finished()
+	if controller.timing.Whole {
+		// The steady clock of this leader; the order's own time may jump.
+		since = controller.stepped
+	}
+	if now.Sub(since) < controller.timing.Watch {
 		return rsrc.Step{}, false
 	}
 	return step(now, rsrc.StateFinished, rsrc.FullShare, "nothing bad was seen while watching"), true
--- a/internal/canary/model_test.go
+++ b/internal/canary/model_test.go
@@ -230,6 +230,6 @@
 	case last.Share >= 500:
 		return step(now, rsrc.StateWatching, rsrc.FullShare, "baseline"), true
 	default:
-		return step(now, rsrc.StateRamping, nextShare(last.Share), "baseline"), true
+		return step(now, rsrc.StateRamping, nextShare(usualRamp, last.Share), "baseline"), true
 	}
 }
--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -19,6 +19,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/node"
 	"github.com/vanillapulley/vanillapulley/internal/sample"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/platform"
 )
 
 // Version is the program's version.
@@ -72,13 +73,17 @@
 					return named(err, c.String("settings"), "data")
 				}
 			}
-			control, err := ctrl.New(ctrl.Deps{
+			deps := ctrl.Deps{
 				Settings: settings,
 				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
 				Stats:    stats.New(),
 				Now:      time.Now,
 				Random:   newRandom,
-			})
+			}
+			if settings.Interface == config.InterfacePlatform {
+				deps.API = platform.Control
+			}
+			control, err := ctrl.New(deps)
 			if err != nil {
 				return err
 			}
@@ -97,13 +102,17 @@
 			if err != nil {
 				return err
 			}
-			running, err := node.New(node.Deps{
+			deps := node.Deps{
 				Settings: settings,
 				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
 				Stats:    stats.New(),
 				Now:      time.Now,
 				Random:   newRandom,
-			})
+			}
+			if settings.Interface == config.InterfacePlatform {
+				deps.Dialect, deps.Admin = platform.Dialect{}, platform.Node
+			}
+			running, err := node.New(deps)
 			if err != nil {
 				return err
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -77,6 +78,15 @@
 	SnapshotEvery int         `json:"snapshotEvery"`
 	Rollout       Rollout     `json:"rollout"`
 	Log           logs.Levels `json:"log"`
+	// Interface names how operators speak: "own", the default, or "platform".
+	Interface string `json:"interface"`
+	// PeerPort replaces the port of the addresses in Peers, when these name
+	// another port of the control VMs; zero keeps them.
+	PeerPort int `json:"peerPort"`
+	// Found makes this VM one of the first voters of a new control plane if its
+	// data folder is empty and Peers names it. It must be set on all peers, and
+	// only for the very first start.
+	Found bool `json:"found"`
 }
 
 // Node holds the settings of a node's daemon.
@@ -99,8 +109,34 @@
 	// Queue is how many calls may wait for the upstream.
 	Queue int `json:"queue"`
 	// Grace is how long a planned stop waits for calls in progress.
-	Grace Duration    `json:"grace"`
-	Log   logs.Levels `json:"log"`
+	Grace Duration `json:"grace"`
+	// Notice is how long callers are still served after a planned stop began,
+	// so that they see that the node is not ready.
+	Notice Duration    `json:"notice"`
+	Log    logs.Levels `json:"log"`
+	// Interface names how callers, upstreams and operators speak: "own", the
+	// default, or "platform".
+	Interface string `json:"interface"`
+	// Ready is where readiness is asked, besides the admin address.
+	Ready string `json:"ready"`
+	// Service is the service beside which calls through this node begin.
+	Service string `json:"service"`
+	// Heartbeat is how often the upstream speaks.
+	Heartbeat Duration `json:"heartbeat"`
+	// ControlPort replaces the port of the addresses in Control, when these name
+	// another port of the control VMs; zero keeps them.
+	ControlPort int   `json:"controlPort"`
+	Retry       Retry `json:"retry"`
+}
+
+// Retry bounds the repeated calls to each service, over all nodes together;
+// zero means the default.
+type Retry struct {
+	// Share is how many repeats each call allows.
+	Share float64 `json:"share"`
+	// Slack is how many more repeats are allowed within a window.
+	Slack  float64  `json:"slack"`
+	Window Duration `json:"window"`
 }
 
 // Defaults of settings that may be left out.
@@ -109,17 +145,25 @@
 	DefaultSnapshotEvery = 1000
 	DefaultQueue         = 64
 	DefaultGrace         = 30 * time.Second
+	DefaultHeartbeat     = time.Second
+)
+
+// The values of the setting "interface".
+const (
+	InterfaceOwn      = "own"
+	InterfacePlatform = "platform"
 )
 
 // ReadControl reads and checks the settings of a control VM.
 func ReadControl(file string) (Control, error) {
-	control := Control{Replicas: 1, MaxChildren: DefaultMaxChildren, SnapshotEvery: DefaultSnapshotEvery}
+	control := Control{Replicas: 1, MaxChildren: DefaultMaxChildren, SnapshotEvery: DefaultSnapshotEvery, Interface: InterfaceOwn}
 	if err := read(file, &control); err != nil {
 		return control, err
 	}
 	if control.Data != "" && !filepath.IsAbs(control.Data) {
 		control.Data = filepath.Join(filepath.Dir(file), control.Data)
 	}
+	control.Peers = withPort(control.Peers, control.PeerPort)
 	return control, control.check(file)
 }
 
@@ -135,6 +179,8 @@
 	checker.require(control.Replicas == 1 || len(control.Peers) > 0, "peers", "is missing: replicas above 1 need the other control VMs' link addresses")
 	checker.require(control.MaxChildren > 0, "maxChildren", "must be positive")
 	checker.require(control.SnapshotEvery > 0, "snapshotEvery", "must be positive")
+	checker.face(control.Interface)
+	checker.require(!control.Found || len(control.Peers) > 0, "found", "needs peers")
 	checker.positive("rollout.dwell", control.Rollout.Dwell)
 	checker.positive("rollout.watch", control.Rollout.Watch)
 	checker.positive("rollout.cold", control.Rollout.Cold)
@@ -144,13 +190,30 @@
 
 // ReadNode reads and checks the settings of a node.
 func ReadNode(file string) (Node, error) {
-	node := Node{MaxChildren: DefaultMaxChildren, Queue: DefaultQueue, Grace: Duration(DefaultGrace)}
+	node := Node{MaxChildren: DefaultMaxChildren, Queue: DefaultQueue, Grace: Duration(DefaultGrace), Heartbeat: Duration(DefaultHeartbeat), Interface: InterfaceOwn}
 	if err := read(file, &node); err != nil {
 		return node, err
 	}
+	node.Control = withPort(node.Control, node.ControlPort)
 	return node, node.check(file)
 }
 
+// withPort replaces the ports of addresses unless the port is zero. What is no
+// address is left for the check.
+func withPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	replaced := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			address = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+		replaced = append(replaced, address)
+	}
+	return replaced
+}
+
 func (node Node) check(file string) error {
 	checker := checker{file: file}
 	checker.name("name", node.Name)
@@ -165,6 +228,11 @@
 	checker.require(node.MaxChildren >= 0, "maxChildren", "must not be negative")
 	checker.require(node.Queue >= 0, "queue", "must not be negative")
 	checker.positive("grace", node.Grace)
+	checker.positive("notice", node.Notice)
+	checker.positive("heartbeat", node.Heartbeat)
+	checker.face(node.Interface)
+	checker.optional("ready", node.Ready)
+	checker.require(node.Retry.Share >= 0 && node.Retry.Slack >= 0, "retry", "must not be negative")
 	checker.levels(node.Log)
 	return checker.err
 }
@@ -199,7 +267,7 @@
 }
 
 // durationKeys are the settings of type Duration.
-var durationKeys = []string{"grace", "dwell", "watch", "cold"}
+var durationKeys = []string{"grace", "notice", "heartbeat", "window", "dwell", "watch", "cold"}
 
 // durationKey finds which duration does not read, since the decoder does not
 // say.
@@ -256,6 +324,17 @@
 	}
 }
 
+func (checker *checker) optional(key, value string) {
+	if value != "" {
+		checker.address(key, value)
+	}
+}
+
+func (checker *checker) face(value string) {
+	known := value == InterfaceOwn || value == InterfacePlatform
+	checker.require(known, "interface", fmt.Sprintf("%q is unknown: use own or platform", value))
+}
+
 func (checker *checker) positive(key string, value Duration) {
 	checker.require(value >= 0, key, "must not be negative")
 }
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -39,6 +39,9 @@
 	defer cancel()
 	method, path := string(request.Method()), string(request.Path())
 	control.stats.Count("vp_api_requests_total", 1)
+	if control.deps.API != nil && control.deps.API(control, request) {
+		return
+	}
 	switch {
 	case method == "POST" && path == "/v1/apply":
 		control.apply(ctx, request)
@@ -270,6 +273,7 @@
 	command.Expect = append(command.Expect, wire.Expect{Key: wire.FromKey(rollout.Key()), Revision: rollout.Revision()})
 	command.Put = append(command.Put, withoutRevision(advanced))
 	route, ok := config.Route(rollout.Route())
+	ok = ok && rollout.Service() == ""
 	if step.State == rsrc.StateFinished && ok {
 		command.Expect = append(command.Expect, wire.Expect{Key: wire.FromKey(route.Key()), Revision: route.Revision()})
 		command.Put = append(command.Put, withoutRevision(route.WithVersion(rollout.To())))
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -39,6 +40,9 @@
 // stopGrace bounds how long a planned stop waits for requests in progress.
 const stopGrace = 5 * time.Second
 
+// maxRequest bounds the body of an operator's request, in bytes.
+const maxRequest = 64 << 20
+
 // Deps are what a control daemon depends on.
 type Deps struct {
 	Settings config.Control
@@ -47,6 +51,9 @@
 	Now      func() time.Time
 	// Random makes a source of random numbers; each core gets its own.
 	Random func() *rand.Rand
+	// API serves requests to the API's address that are not the project's own;
+	// nil means none. It returns false for a request that it leaves alone.
+	API func(control *Control, request *fasthttp.RequestCtx) bool
 }
 
 // Control is the daemon of one control VM.
@@ -55,6 +62,7 @@
 	now      func() time.Time
 	log      logr.Logger
 	stats    *stats.Set
+	started  time.Time
 	pool     *ants.Pool
 	traffic  *link.Traffic
 	logs     *logs.Factory
@@ -73,9 +81,28 @@
 // others start without it and join.
 func Init(settings config.Control) error {
 	first := raft.Member{ID: disk.NewID(settings.Name), Name: settings.Name, Address: settings.Link}
-	return disk.Create(settings.Data, settings.Name, raft.Bootstrap(first))
+	return disk.Create(settings.Data, disk.Identity{ID: first.ID, Name: settings.Name}, raft.Bootstrap(first))
 }
 
+// create makes the data folder of a replica that has none: that of one of the
+// first voters, which all know the same peers, or of one that is to join.
+func create(settings config.Control) error {
+	joiner := disk.Identity{ID: disk.NewID(settings.Name), Name: settings.Name}
+	if !settings.Found || !slices.Contains(settings.Peers, settings.Link) {
+		return disk.Create(settings.Data, joiner, raft.Durable{})
+	}
+	var first []raft.Member
+	for _, address := range slices.Sorted(slices.Values(settings.Peers)) {
+		first = append(first, raft.Member{ID: founderID(address), Name: address, Address: address})
+	}
+	founder := disk.Identity{ID: founderID(settings.Link), Name: settings.Name}
+	return disk.Create(settings.Data, founder, raft.Bootstrap(first...))
+}
+
+// founderID is the same on all of the first voters. It is used once, since a
+// replica that lost its disk is never told to found the group again.
+func founderID(address string) string { return "founder-" + address }
+
 // New returns a daemon that is not running yet.
 func New(deps Deps) (*Control, error) {
 	pool, err := ants.NewPool(poolSize)
@@ -87,6 +114,7 @@
 		now:      deps.Now,
 		log:      deps.Logs.Layer("daemon"),
 		stats:    deps.Stats,
+		started:  deps.Now(),
 		pool:     pool,
 		traffic:  &link.Traffic{},
 		logs:     deps.Logs,
@@ -124,7 +152,7 @@
 		if len(control.settings.Peers) == 0 {
 			return trace.NotFound("the data folder %s holds no replica: start once with --init to make a new control plane", control.settings.Data)
 		}
-		if err := disk.Create(control.settings.Data, control.settings.Name, raft.Durable{}); err != nil {
+		if err := create(control.settings); err != nil {
 			return err
 		}
 	}
@@ -155,8 +183,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := tasks.New(8)
-	server := &fasthttp.Server{Handler: control.handle, Name: "vanillapulley", NoDefaultDate: true, CloseOnShutdown: true}
+	server := &fasthttp.Server{Handler: control.handle, Name: "vanillapulley", NoDefaultDate: true, CloseOnShutdown: true, MaxRequestBodySize: maxRequest}
 	control.gauges()
+	control.announce()
 	group.Go(ctx, "replica", control.replica.run)
 	group.Go(ctx, "tree", func(ctx context.Context) error { return control.tree.Run(ctx, linkListener) })
 	group.Go(ctx, "publish", control.publish)
@@ -259,6 +288,8 @@
 // come together there.
 func (control *Control) follow(ctx context.Context) error {
 	return tasks.Every(ctx, followEvery, func() {
+		stale := control.replica.stale()
+		control.tree.Do(func(core *distr.Core, _ time.Time) { core.SetStale(stale) })
 		var parents []string
 		if leader := control.replica.leader(); leader.Address != "" && !control.replica.leads() {
 			parents = []string{leader.Address}
@@ -270,26 +301,51 @@
 // joinEvery is how often a replica that is no member asks again.
 const joinEvery = 300 * time.Millisecond
 
-// join asks the other control VMs to take this replica in until it is a
-// member.
+// join asks the other control VMs to take this replica in whenever it is not a
+// member, or is one only by its own outdated word.
 func (control *Control) join(ctx context.Context) error {
-	asked := control.settings.Peers
-	for i := 0; len(asked) > 0; i++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(joinEvery):
+	asked := 0
+	return tasks.Every(ctx, joinEvery, func() {
+		if control.isMember() && !control.replica.stale() {
+			return
 		}
-		if control.isMember() {
-			return nil
+		addresses := control.otherControls()
+		if len(addresses) == 0 {
+			return
 		}
+		asked++
 		self := wire.Member{ID: control.replica.disk.Identity().ID, Name: control.settings.Name, Address: control.settings.Link}
 		var answer wire.JoinAnswer
-		bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
-		_ = control.caller.Call(bounded, asked[i%len(asked)], methodJoin, wire.JoinRequest{Member: self}, &answer)
-		cancel()
+		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+		defer cancel()
+		err := control.caller.Call(bounded, addresses[asked%len(addresses)], methodJoin, wire.JoinRequest{Member: self}, &answer)
+		if err == nil && answer.Leader != "" && answer.Leader != control.settings.Link {
+			err = control.caller.Call(bounded, answer.Leader, methodJoin, wire.JoinRequest{Member: self}, &answer)
+		}
+		if err != nil {
+			control.log.V(1).Info("not joined yet", "asked", addresses[asked%len(addresses)], "error", err.Error())
+		}
+	})
+}
+
+// joinTimeout bounds one question whether this replica is a member.
+const joinTimeout = time.Second
+
+// otherControls returns the link addresses of the control VMs that are known
+// from the settings, the log and the tree.
+func (control *Control) otherControls() []string {
+	addresses := slices.Clone(control.settings.Peers)
+	for _, member := range control.replica.view.Load().members {
+		addresses = append(addresses, member.Address)
 	}
-	return nil
+	for _, record := range control.tree.Records() {
+		if record.Root {
+			addresses = append(addresses, record.Link)
+		}
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == control.settings.Link || address == "" })
 }
 
 func (control *Control) isMember() bool {
@@ -302,6 +358,15 @@
 	return false
 }
 
+// announce tells nodes and other control VMs that this one is there.
+func (control *Control) announce() {
+	record := member.Record{Incarnation: uint64(control.started.UnixNano()), State: member.StateIdle, Root: true}
+	control.tree.Do(func(core *distr.Core, now time.Time) { core.Announce(now, record) })
+}
+
+// Recall implements tree.Host; a control VM guards no upstream.
+func (control *Control) Recall(member.Record) {}
+
 // Applied implements tree.Host; a root's configurations come from the log.
 func (control *Control) Applied(*rsrc.Config) {}
 
--- a/internal/ctrl/placer.go
+++ b/internal/ctrl/placer.go
@@ -37,7 +37,7 @@
 func (placer *placer) next(now time.Time, present rsrc.Witnesses, records []member.Record) (rsrc.Witnesses, bool) {
 	usable := map[string]member.Record{}
 	for _, record := range records {
-		if record.State != member.StateSuspect {
+		if record.State != member.StateSuspect && !record.Root {
 			usable[record.Name] = record
 		}
 	}
--- a/internal/ctrl/replica.go
+++ b/internal/ctrl/replica.go
@@ -85,6 +85,10 @@
 	members  []raft.Member
 	commit   uint64
 	logBytes int64
+	// alive is true while a quorum or its leader answers; at is when that was
+	// seen. A loop that waits for its disk publishes nothing.
+	alive bool
+	at    time.Time
 }
 
 // replica runs the consensus core: one goroutine owns core, disk and store.
@@ -443,6 +447,8 @@
 		commit:   replica.core.Commit(),
 		logBytes: replica.disk.Size(),
 		leader:   replica.findLeader(),
+		alive:    replica.core.Alive(replica.now()),
+		at:       replica.now(),
 	}
 	old := replica.view.Swap(view)
 	if old != nil && (old.role != view.role || old.leader.ID != view.leader.ID) {
@@ -473,6 +479,16 @@
 // leads reports whether this replica is the leader.
 func (replica *replica) leads() bool { return replica.view.Load().role == raft.RoleLeader }
 
+// staleAfter is how old the last sign of a quorum may be for this replica to
+// count as connected to the source.
+const staleAfter = 800 * time.Millisecond
+
+// stale reports whether this replica may be missing news.
+func (replica *replica) stale() bool {
+	view := replica.view.Load()
+	return !view.alive || replica.now().Sub(view.at) > staleAfter
+}
+
 // config returns the configuration as applied here.
 func (replica *replica) config() *rsrc.Config {
 	replica.lock.Lock()
--- a/internal/ctrl/rollouts.go
+++ b/internal/ctrl/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,7 +18,7 @@
 )
 
 // decideEvery is the pause between two decisions of the leader.
-const decideEvery = 500 * time.Millisecond
+const decideEvery = 100 * time.Millisecond
 
 // rollouts runs the controllers of all rollouts while this replica leads.
 type rollouts struct {
@@ -25,7 +26,12 @@
 	log         logr.Logger
 	timing      canary.Timing
 	controllers map[string]*running
-	placer      *placer
+	// seen is when this replica first saw each rollout, by epoch, on its steady
+	// clock; deadlines of whole services count from there.
+	seen map[uint64]time.Time
+	// lock guards seen.
+	lock   sync.Mutex
+	placer *placer
 }
 
 // running is the controller of one rollout, told apart by its epoch.
@@ -40,6 +46,7 @@
 		log:         control.logs.Layer("rollout"),
 		timing:      rolloutTiming(control.settings.Rollout),
 		controllers: map[string]*running{},
+		seen:        map[uint64]time.Time{},
 		placer:      newPlacer(),
 	}
 }
@@ -59,48 +66,88 @@
 
 func (rollouts *rollouts) run(ctx context.Context) error {
 	return tasks.Every(ctx, decideEvery, func() {
+		rollouts.notice()
 		if !rollouts.control.replica.leads() {
 			clear(rollouts.controllers)
 			return
 		}
 		rollouts.decide(ctx)
-		rollouts.place(ctx)
+		if rollouts.control.settings.Interface == config.InterfaceOwn {
+			rollouts.place(ctx)
+		}
 	})
 }
 
+// notice remembers when rollouts of whole services were first seen here.
+func (rollouts *rollouts) notice() {
+	now := rollouts.control.now()
+	rollouts.lock.Lock()
+	defer rollouts.lock.Unlock()
+	for _, rollout := range rollouts.control.replica.config().OpenRollouts() {
+		if _, ok := rollouts.seen[rollout.Epoch()]; !ok {
+			rollouts.seen[rollout.Epoch()] = now
+		}
+	}
+}
+
+// resendWindow is how long after its first sight a rollout's order may still
+// come again from an operator who lost the answer.
+const resendWindow = 30 * time.Second
+
+// justEnded reports whether a rollout that has ended was first seen so shortly
+// ago that its order may be coming again.
+func (rollouts *rollouts) justEnded(epoch uint64) bool {
+	rollouts.lock.Lock()
+	defer rollouts.lock.Unlock()
+	at, ok := rollouts.seen[epoch]
+	return ok && rollouts.control.now().Sub(at) < resendWindow
+}
+
+// due is the deadline of a whole service's rollout on this replica's clock.
+func (rollouts *rollouts) due(rollout rsrc.Rollout) time.Time {
+	rollouts.lock.Lock()
+	defer rollouts.lock.Unlock()
+	return rollouts.seen[rollout.Epoch()].Add(rollout.Within())
+}
+
 // decide lets every controller look at what was observed since the last time.
 func (rollouts *rollouts) decide(ctx context.Context) {
 	var observations []distr.Observation
 	rollouts.control.tree.Do(func(core *distr.Core, _ time.Time) { observations = core.TakeObservations() })
 	config := rollouts.control.replica.config()
 	records := rollouts.control.tree.Records()
-	for _, resource := range config.All() {
-		rollout, ok := resource.(rsrc.Rollout)
-		if !ok || rollout.Last().State.Ended() {
-			continue
-		}
+	for _, rollout := range config.OpenRollouts() {
 		rollouts.decideOne(ctx, config, rollout, observations, records)
 	}
 }
 
 func (rollouts *rollouts) decideOne(ctx context.Context, config *rsrc.Config, rollout rsrc.Rollout, observations []distr.Observation, records []member.Record) {
 	now := rollouts.control.now()
-	route, _ := config.Route(rollout.Route())
-	service, _ := config.Service(route.Service())
-	held := rollouts.controllers[rollout.Route()]
+	name, timing := rollout.Service(), rollouts.timing
+	if name == "" {
+		route, _ := config.Route(rollout.Route())
+		name = route.Service()
+	} else {
+		timing = canary.WithinTiming(rollout.Within())
+	}
+	service, _ := config.Service(name)
+	held := rollouts.controllers[rollout.Subject()]
 	if held == nil || held.epoch != rollout.Epoch() {
-		held = &running{epoch: rollout.Epoch(), controller: canary.New(service.Policy(), rollouts.timing, now)}
-		rollouts.controllers[rollout.Route()] = held
+		held = &running{epoch: rollout.Epoch(), controller: canary.New(service.Policy(), timing, now)}
+		rollouts.controllers[rollout.Subject()] = held
 	}
 	input := canary.Input{Rollout: rollout, Policy: service.Policy(), MinTargets: 1}
-	if version, ok := config.UpstreamVersion(route.Service(), rollout.To()); ok {
+	if rollout.Service() != "" {
+		input.Rollout = rollout.Due(rollouts.due(rollout))
+	}
+	if version, ok := config.UpstreamVersion(name, rollout.To()); ok {
 		input.MinTargets = version.MinTargets()
 	}
 	for _, observation := range observations {
 		countObservation(&input, observation)
 	}
 	for _, record := range records {
-		if record.State == member.StateServing && record.Upstream.Service == route.Service() && record.Upstream.Version == rollout.To() {
+		if record.State == member.StateServing && record.Upstream.Service == name && record.Upstream.Version == rollout.To() {
 			input.Targets++
 			input.Slots += record.Upstream.Slots
 		}
@@ -112,17 +159,17 @@
 	command := wire.Command{RequestID: uuid.NewString(), At: now.UTC()}
 	step.At = command.At
 	if err := addStep(&command, config, rollout, step); err != nil {
-		rollouts.log.Error(err, "step refused", "route", rollout.Route())
+		rollouts.log.Error(err, "step refused", "rollout", rollout.Subject())
 		return
 	}
 	rollouts.propose(ctx, command)
-	rollouts.log.Info("rollout step", "route", rollout.Route(), "to", rollout.To(), "state", string(step.State), "share", step.Share, "cause", step.Cause)
+	rollouts.log.Info("rollout step", "rollout", rollout.Subject(), "to", rollout.To(), "state", string(step.State), "share", step.Share, "cause", step.Cause)
 	rollouts.control.stats.Count(`vp_rollout_steps_total{state="`+string(step.State)+`"}`, 1)
 }
 
 func countObservation(input *canary.Input, observation distr.Observation) {
 	rollout := input.Rollout
-	if observation.Route != rollout.Route() || observation.Epoch != rollout.Epoch() {
+	if observation.Route != rollout.Subject() || observation.Epoch != rollout.Epoch() {
 		return
 	}
 	counts := canary.Counts{Calls: observation.Calls, Errors: observation.Errors, Latency: observation.Latency}
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -61,8 +61,8 @@
 	return err == nil
 }
 
-// Create makes a data folder with a fresh identity and the given first state.
-func Create(folder, name string, first raft.Durable) error {
+// Create makes a data folder with the given identity and first state.
+func Create(folder string, identity Identity, first raft.Durable) error {
 	if Exists(folder) {
 		return trace.AlreadyExists("%s holds a replica already", folder)
 	}
@@ -73,17 +73,8 @@
 	if err := writeSynced(folder, logFile, records); err != nil {
 		return err
 	}
-	id := name
-	for _, entry := range first.Entries {
-		for _, member := range entry.Members {
-			id = member.ID
-		}
-	}
-	if len(first.Entries) == 0 {
-		id = NewID(name)
-	}
 	// The identity comes last: without it the folder counts as empty.
-	return writeSynced(folder, identityFile, wire.Must(identityRecord{ID: id, Name: name}))
+	return writeSynced(folder, identityFile, wire.Must(identityRecord(identity)))
 }
 
 // NewID returns a replica id that was never used before.
--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -20,7 +20,7 @@
 // newFolder returns a folder that holds the entries 1 to count.
 func newFolder(t testing.TB, count uint64) string {
 	folder := filepath.Join(t.TempDir(), "data")
-	require.NoError(t, Create(folder, "c1", raft.Bootstrap(raft.Member{ID: "c1-x", Name: "c1"})))
+	require.NoError(t, Create(folder, Identity{ID: "c1-x", Name: "c1"}, raft.Bootstrap(raft.Member{ID: "c1-x", Name: "c1"})))
 	held, _, err := Open(folder)
 	require.NoError(t, err)
 	for index := uint64(2); index <= count; index++ {
--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -65,6 +65,9 @@
 	compareAt    time.Time
 	flushAt      time.Time
 
+	// stale is true on a root that takes no children for want of news.
+	stale bool
+
 	joinTokens float64
 	joinsAt    time.Time
 
@@ -246,6 +249,21 @@
 	core.forget(from)
 }
 
+// SetStale tells a root whether it lost touch with the source. A stale root
+// sends its children away, since it would keep them from the news.
+func (core *Core) SetStale(stale bool) {
+	if core.stale == stale {
+		return
+	}
+	core.stale = stale
+	if !stale {
+		return
+	}
+	for _, child := range core.withRole(RoleChild) {
+		core.drop(child)
+	}
+}
+
 // Publish gives a root the configuration that the log has come to.
 func (core *Core) Publish(config *rsrc.Config) {
 	if config.Version() > core.config.Version() {
--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -12,7 +12,7 @@
 const maxRedirects = 4
 
 // joinRetryAfter is how long a root without a token for a joiner sends it away.
-const joinRetryAfter = 500 * time.Millisecond
+const joinRetryAfter = 200 * time.Millisecond
 
 // finder is the search for a parent and for lateral peers.
 type finder struct {
@@ -68,6 +68,10 @@
 	core.finds.restart(now, 0)
 }
 
+// KnowParents replaces the addresses of the control VMs; a present parent
+// stays.
+func (core *Core) KnowParents(parents []string) { core.settings.Parents = parents }
+
 // findParent starts the next try to find a parent when it is due.
 func (core *Core) findParent(now time.Time) {
 	leading := core.settings.Root && len(core.settings.Parents) == 0
@@ -195,7 +199,7 @@
 		core.decideLateral(from)
 		return
 	}
-	if core.settings.Root && !core.takeToken(now) {
+	if core.settings.Root && (core.stale || !core.takeToken(now)) {
 		core.welcome(from, Welcome{RetryAfter: core.jitter(joinRetryAfter)})
 		return
 	}
@@ -294,6 +298,9 @@
 	if !welcome.Confirmed && core.Ready() {
 		welcome.Floor = core.config.Version()
 	}
+	if former, ok := core.table.Get(to.name); ok {
+		welcome.Former = &former
+	}
 	core.send(to, Message{Welcome: &welcome})
 	if !welcome.Accepted {
 		to.role = RoleUnknown
@@ -332,6 +339,9 @@
 		return
 	}
 	from.name, from.zone = welcome.Name, welcome.Zone
+	if welcome.Former != nil && welcome.Former.Name == core.settings.Name {
+		core.act(Action{Former: welcome.Former})
+	}
 	core.learnFloor(from, welcome)
 	if core.finds.trying != from.id {
 		core.welcomeLateral(from, welcome)
--- a/internal/distr/types.go
+++ b/internal/distr/types.go
@@ -81,6 +81,9 @@
 	// Path lists the ancestors of a new child, nearest first; rootMark ends a
 	// path that leads to a root.
 	Path []string
+	// Former is the sender's record of the receiver, so that one that was
+	// restarted learns what it had told before.
+	Former *member.Record
 }
 
 // rootMark follows the name of a root in a path.
@@ -179,6 +182,8 @@
 	Config *rsrc.Config
 	// Refused reports an update that failed its check and was not applied.
 	Refused error
+	// Former is what this node had told of itself before it was restarted.
+	Former *member.Record
 	// Confirm asks a root for a quorum-confirmed version for connection ID.
 	Confirm bool
 }
@@ -200,14 +205,15 @@
 }
 
 // DefaultTiming spreads a change over a tree of depth four within half a
-// second and compares laterally every two seconds.
+// second. Comparisons also show that a connection is alive: three of them fit
+// into the longest silence.
 func DefaultTiming() Timing {
 	return Timing{
 		Report:   2 * time.Second,
-		Observe:  400 * time.Millisecond,
-		Compare:  2 * time.Second,
+		Observe:  200 * time.Millisecond,
+		Compare:  500 * time.Millisecond,
 		Retry:    300 * time.Millisecond,
-		RetryMax: 5 * time.Second,
+		RetryMax: time.Second,
 		Coalesce: 50 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,111 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ttl = 4 * time.Second
+
+func notice(id string, born int64, sequence uint64) Notice {
+	return Notice{ID: id, Born: born, Sequence: sequence, Service: "s", Version: "v1", Address: "10.0.0.1:80", Slots: 12}
+}
+
+func draining(notice Notice) Notice {
+	notice.Draining = true
+	return notice
+}
+
+func TestALateNoticeChangesNothing(t *testing.T) {
+	now := time.Unix(0, 0)
+	holder := New()
+	require.True(t, holder.Take(now, notice("a", 10, 5), ttl))
+	require.False(t, holder.Take(now, notice("a", 10, 4), ttl), "an older sequence")
+	require.False(t, holder.Take(now, notice("b", 9, 99), ttl), "the life before at the same address")
+	require.True(t, holder.Take(now, notice("a", 11, 1), ttl), "the same id started again")
+	require.True(t, holder.Take(now, notice("c", 12, 1), ttl))
+	current, ok := holder.Current()
+	require.True(t, ok)
+	require.Equal(t, "c", current.ID)
+}
+
+func TestLeavingIsFinalForOneLife(t *testing.T) {
+	now := time.Unix(0, 0)
+	holder := New()
+	holder.Take(now, notice("a", 10, 5), ttl)
+	require.True(t, holder.Leave("a", 0))
+	require.False(t, holder.Take(now, notice("a", 10, 6), ttl), "a heartbeat that was sent before and came after")
+	_, ok := holder.Current()
+	require.False(t, ok)
+	require.True(t, holder.Take(now, notice("a", 11, 1), ttl), "the next life is another one")
+}
+
+func TestLeavingIsKnownBeforeTheFirstHeartbeat(t *testing.T) {
+	holder := New()
+	require.False(t, holder.Leave("a", 10))
+	require.False(t, holder.Take(time.Unix(0, 0), notice("a", 10, 1), ttl))
+}
+
+func TestDrainingIsNotTakenBack(t *testing.T) {
+	now := time.Unix(0, 0)
+	holder := New()
+	holder.Take(now, notice("a", 10, 5), ttl)
+	holder.Take(now, draining(notice("a", 10, 6)), ttl)
+	require.True(t, holder.Take(now, notice("a", 10, 7), ttl))
+	current, _ := holder.Current()
+	require.True(t, current.Draining)
+}
+
+func TestARestartedNodeRecallsWhatItAcknowledged(t *testing.T) {
+	now := time.Unix(0, 0)
+	for name, c := range map[string]struct {
+		former   Notice
+		gone     bool
+		first    Notice
+		accepted bool
+		draining bool
+	}{
+		"a drain overtakes an older heartbeat": {former: draining(notice("a", 10, 8)), first: notice("a", 10, 7), draining: true},
+		"a later heartbeat still drains":       {former: draining(notice("a", 10, 8)), first: notice("a", 10, 9), accepted: true, draining: true},
+		"a later heartbeat is believed":        {former: notice("a", 10, 8), first: notice("a", 10, 9), accepted: true},
+		"gone is final":                        {former: notice("a", 10, 8), gone: true, first: notice("a", 10, 9)},
+		"another life is news":                 {former: notice("a", 10, 8), gone: true, first: notice("a", 12, 1), accepted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			holder := New()
+			holder.Recall(c.former, c.gone)
+			_, known := holder.Current()
+			require.False(t, known, "hearsay is no upstream")
+			require.Equal(t, c.accepted, holder.Take(now, c.first, ttl))
+			current, _ := holder.Current()
+			require.Equal(t, c.draining, current.Draining)
+		})
+	}
+	holder := New()
+	holder.Take(now, notice("a", 10, 9), ttl)
+	holder.Recall(draining(notice("a", 10, 8)), false)
+	current, _ := holder.Current()
+	require.True(t, current.Draining, "the recall came after the first heartbeat")
+}
+
+func TestSilenceExpires(t *testing.T) {
+	now := time.Unix(0, 0)
+	holder := New()
+	require.False(t, holder.Expired(now.Add(time.Hour)))
+	holder.Take(now, notice("a", 10, 1), ttl)
+	require.False(t, holder.Expired(now.Add(ttl)))
+	require.True(t, holder.Expired(now.Add(ttl+1)))
+	holder.Lose()
+	require.True(t, holder.Take(now, notice("a", 10, 2), ttl), "one that was only silent comes back")
+}
+
+func TestOneWithoutIdentityAlwaysHolds(t *testing.T) {
+	now := time.Unix(0, 0)
+	holder := New()
+	require.True(t, holder.Take(now, notice("", 0, 0), ttl))
+	require.True(t, holder.Take(now, notice("", 0, 0), ttl))
+	require.True(t, holder.Leave("", 0))
+	require.True(t, holder.Take(now, notice("", 0, 0), ttl))
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -6,6 +6,8 @@
 package limit
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -24,6 +26,15 @@
 type Ticket struct {
 	customer string
 	deadline time.Time
+	// priority ranks the call; 0 comes first.
+	priority int
+	// useful is when an answer loses most of its worth; zero means at the
+	// deadline. A call that would be answered later is refused on arrival, so
+	// that others are answered in time.
+	useful time.Time
+	// patient is false for a call that may find a free slot elsewhere and is
+	// refused rather than queued.
+	patient bool
 	// decided is called once, when a queued ticket is admitted (refusal is
 	// empty) or refused.
 	decided func(refusal Reason)
@@ -32,7 +43,24 @@
 // NewTicket returns a ticket for a customer's call. Decided is called at most
 // once, from within a later call on the gate.
 func NewTicket(customer string, deadline time.Time, decided func(refusal Reason)) *Ticket {
-	return &Ticket{customer: customer, deadline: deadline, decided: decided}
+	return &Ticket{customer: customer, deadline: deadline, patient: true, decided: decided}
+}
+
+// Rank sets the call's priority; 0 comes first.
+func (ticket *Ticket) Rank(priority int) { ticket.priority = priority }
+
+// UsefulUntil sets when an answer loses most of its worth.
+func (ticket *Ticket) UsefulUntil(useful time.Time) { ticket.useful = useful }
+
+// Impatient has the call refused rather than queued.
+func (ticket *Ticket) Impatient() { ticket.patient = false }
+
+// latest is when the call has to be answered to be worth its slot.
+func (ticket *Ticket) latest() time.Time {
+	if ticket.useful.IsZero() || ticket.useful.After(ticket.deadline) {
+		return ticket.deadline
+	}
+	return ticket.useful
 }
 
 // Verdict answers a call's arrival.
@@ -60,17 +88,24 @@
 	inFlight int
 	queued   int
 	draining bool
+	// lines has the waiting calls of each priority; none of them is empty.
+	lines map[int]*line
+	// service is the moving average of a call's time on the target.
+	service time.Duration
+}
+
+// line holds the waiting calls of one priority.
+type line struct {
 	// queues has an entry for each customer with waiting calls.
 	queues map[string][]*Ticket
 	// turn lists those customers in the order in which they are served.
-	turn []string
-	// service is the moving average of a call's time on the target.
-	service time.Duration
+	turn   []string
+	queued int
 }
 
 // New returns a gate with the given number of slots and waiting places.
 func New(slots, maxQueue int) *Gate {
-	return &Gate{slots: slots, maxQueue: maxQueue, queues: map[string][]*Ticket{}}
+	return &Gate{slots: slots, maxQueue: maxQueue, lines: map[int]*line{}}
 }
 
 // InFlight returns the number of calls on the target.
@@ -91,14 +126,27 @@
 // Drain refuses all new calls from now on, and all that wait.
 func (gate *Gate) Drain() {
 	gate.draining = true
-	for _, queue := range gate.queues {
-		for _, ticket := range queue {
-			ticket.decided(ReasonDraining)
+	waiting := gate.waiting()
+	clear(gate.lines)
+	gate.queued = 0
+	for _, ticket := range waiting {
+		ticket.decided(ReasonDraining)
+	}
+}
+
+// priorities returns the priorities with waiting calls, most urgent first.
+func (gate *Gate) priorities() []int { return slices.Sorted(maps.Keys(gate.lines)) }
+
+// waiting returns all waiting calls, most urgent first.
+func (gate *Gate) waiting() []*Ticket {
+	var waiting []*Ticket
+	for _, priority := range gate.priorities() {
+		line := gate.lines[priority]
+		for _, customer := range line.turn {
+			waiting = append(waiting, line.queues[customer]...)
 		}
 	}
-	clear(gate.queues)
-	gate.turn = nil
-	gate.queued = 0
+	return waiting
 }
 
 // Resume takes new calls again, for another target at the same node.
@@ -116,83 +164,119 @@
 		gate.inFlight++
 		return Run, ""
 	}
-	if gate.expectedWait(ticket.customer) > ticket.deadline.Sub(now) {
+	if !ticket.patient {
+		return Refuse, ReasonFull
+	}
+	if now.Add(gate.expectedWait(ticket)).After(ticket.latest()) {
 		return Refuse, ReasonDeadline
 	}
-	if gate.queued >= gate.maxQueue && !gate.displace(ticket.customer) {
+	if gate.queued >= gate.maxQueue && !gate.displace(ticket) {
 		return Refuse, ReasonFull
 	}
 	gate.enqueue(ticket)
 	return Wait, ""
 }
 
-// expectedWait estimates when a new call of the customer would be done: its
-// queue is served once a round, and a round takes one call of each customer.
-func (gate *Gate) expectedWait(customer string) time.Duration {
+// expectedWait estimates when a new call would be done: more urgent calls go
+// first, and among its equals the customer's queue is served once a round,
+// which takes one call of each customer.
+func (gate *Gate) expectedWait(ticket *Ticket) time.Duration {
 	ahead := 1
-	for other, queue := range gate.queues {
-		if other == customer {
-			ahead += len(queue)
-			continue
+	for priority, line := range gate.lines {
+		switch {
+		case priority < ticket.priority:
+			ahead += line.queued
+		case priority == ticket.priority:
+			ahead += line.ahead(ticket.customer)
 		}
-		ahead += min(len(queue), len(gate.queues[customer])+1)
 	}
 	return gate.service*time.Duration(ahead)/time.Duration(max(1, gate.slots)) + gate.service
 }
 
-// displace refuses the newest waiting call of the customer with the most, if
-// that is more than the arriving customer would have.
-func (gate *Gate) displace(arriving string) bool {
+// ahead is how many calls of the line are served before a new one.
+func (line *line) ahead(customer string) int {
+	own := len(line.queues[customer])
+	ahead := own
+	for other, queue := range line.queues {
+		if other != customer {
+			ahead += min(len(queue), own+1)
+		}
+	}
+	return ahead
+}
+
+// Room estimates when a call that was refused now would find a free slot.
+func (gate *Gate) Room() time.Duration {
+	return gate.service * time.Duration(gate.queued+1) / time.Duration(max(1, gate.slots))
+}
+
+// displace refuses a waiting call that matters less than the arriving one: one
+// of a lower priority, or the newest of the customer with the most, if that is
+// more than the arriving customer would have.
+func (gate *Gate) displace(arriving *Ticket) bool {
+	priorities := gate.priorities()
+	last := priorities[len(priorities)-1]
+	if last < arriving.priority {
+		return false
+	}
+	line := gate.lines[last]
 	greediest := ""
-	for _, customer := range gate.turn {
-		if len(gate.queues[customer]) > len(gate.queues[greediest]) {
+	for _, customer := range line.turn {
+		if len(line.queues[customer]) > len(line.queues[greediest]) {
 			greediest = customer
 		}
 	}
-	if greediest == "" || len(gate.queues[greediest]) <= len(gate.queues[arriving])+1 {
+	if last == arriving.priority && len(line.queues[greediest]) <= len(line.queues[arriving.customer])+1 {
 		return false
 	}
-	queue := gate.queues[greediest]
-	last := queue[len(queue)-1]
-	gate.queues[greediest] = queue[:len(queue)-1]
-	gate.queued--
-	last.decided(ReasonFull)
+	queue := line.queues[greediest]
+	victim := queue[len(queue)-1]
+	gate.Cancel(victim)
+	victim.decided(ReasonFull)
 	return true
 }
 
 func (gate *Gate) enqueue(ticket *Ticket) {
-	if len(gate.queues[ticket.customer]) == 0 {
-		gate.turn = append(gate.turn, ticket.customer)
+	held, ok := gate.lines[ticket.priority]
+	if !ok {
+		held = &line{queues: map[string][]*Ticket{}}
+		gate.lines[ticket.priority] = held
 	}
-	gate.queues[ticket.customer] = append(gate.queues[ticket.customer], ticket)
+	if len(held.queues[ticket.customer]) == 0 {
+		held.turn = append(held.turn, ticket.customer)
+	}
+	held.queues[ticket.customer] = append(held.queues[ticket.customer], ticket)
+	held.queued++
 	gate.queued++
 }
 
 // Cancel takes a waiting ticket out and reports whether it was waiting; a
 // ticket that is no longer waiting was or will be decided.
 func (gate *Gate) Cancel(ticket *Ticket) bool {
-	queue := gate.queues[ticket.customer]
-	for i, other := range queue {
-		if other == ticket {
-			gate.queues[ticket.customer] = append(queue[:i:i], queue[i+1:]...)
-			gate.queued--
-			gate.dropEmpty(ticket.customer)
-			return true
-		}
+	line, ok := gate.lines[ticket.priority]
+	if !ok {
+		return false
+	}
+	queue := line.queues[ticket.customer]
+	i := slices.Index(queue, ticket)
+	if i < 0 {
+		return false
 	}
-	return false
+	line.queues[ticket.customer] = slices.Delete(slices.Clone(queue), i, i+1)
+	gate.took(ticket.priority, line, ticket.customer)
+	return true
 }
 
-func (gate *Gate) dropEmpty(customer string) {
-	if len(gate.queues[customer]) > 0 {
-		return
+// took counts a ticket out of a line and drops what became empty.
+func (gate *Gate) took(priority int, line *line, customer string) {
+	line.queued--
+	gate.queued--
+	if len(line.queues[customer]) == 0 {
+		delete(line.queues, customer)
+		line.turn = slices.DeleteFunc(line.turn, func(other string) bool { return other == customer })
 	}
-	delete(gate.queues, customer)
-	for i, other := range gate.turn {
-		if other == customer {
-			gate.turn = append(gate.turn[:i:i], gate.turn[i+1:]...)
-			return
-		}
+	if line.queued == 0 {
+		delete(gate.lines, priority)
 	}
 }
 
@@ -209,17 +293,17 @@
 	gate.admitQueued(now)
 }
 
-// admitQueued serves one call of each customer in turn. Calls whose deadline
-// has passed are refused.
+// admitQueued serves the most urgent calls, one of each customer in turn. Calls
+// whose deadline has passed are refused.
 func (gate *Gate) admitQueued(now time.Time) {
-	for gate.inFlight < gate.slots && len(gate.turn) > 0 {
-		customer := gate.turn[0]
-		queue := gate.queues[customer]
-		ticket := queue[0]
-		gate.queues[customer] = queue[1:]
-		gate.queued--
-		gate.turn = append(gate.turn[1:], customer)
-		gate.dropEmpty(customer)
+	for gate.inFlight < gate.slots && gate.queued > 0 {
+		priority := gate.priorities()[0]
+		line := gate.lines[priority]
+		customer := line.turn[0]
+		ticket := line.queues[customer][0]
+		line.queues[customer] = line.queues[customer][1:]
+		line.turn = append(line.turn[1:], customer)
+		gate.took(priority, line, customer)
 		if !now.Before(ticket.deadline) {
 			ticket.decided(ReasonDeadline)
 			continue
@@ -231,16 +315,9 @@
 
 // Expire refuses the waiting calls whose deadline has passed.
 func (gate *Gate) Expire(now time.Time) {
-	var late []*Ticket
-	for _, queue := range gate.queues {
-		for _, ticket := range queue {
-			if !now.Before(ticket.deadline) {
-				late = append(late, ticket)
-			}
+	for _, ticket := range gate.waiting() {
+		if !now.Before(ticket.deadline) && gate.Cancel(ticket) {
+			ticket.decided(ReasonDeadline)
 		}
 	}
-	for _, ticket := range late {
-		gate.Cancel(ticket)
-		ticket.decided(ReasonDeadline)
-	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,6 +13,8 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
 // Bounds on one connection.
@@ -20,6 +22,9 @@
 	queueLength  = 1024
 	writeTimeout = 5 * time.Second
 	dialTimeout  = time.Second
+	// silence ends a connection whose sent bytes are not acknowledged; it is
+	// below the longest silence between nodes.
+	silence = time.Second
 )
 
 // Handler takes what comes in.
@@ -137,6 +142,8 @@
 }
 
 func (conn *Conn) start(ctx context.Context, raw net.Conn, handler Handler, options Options) {
+	// A connection on which the option cannot be set is found by its idle time.
+	_ = proxy.SetSilence(raw, silence)
 	stream := jsonrpc2.NewBufferedStream(countingConn{Conn: raw, options: options}, jsonrpc2.VarintObjectCodec{})
 	receive := receiver{conn: conn, handler: handler, pool: options.Pool}
 	conn.rpc = jsonrpc2.NewConn(ctx, stream, receive, jsonrpc2.SetLogger(silent{}))
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -44,6 +44,15 @@
 	Version string
 	// Slots is how many calls the target runs at once.
 	Slots int
+	// ID, Born and Sequence order what the target said of itself, so that a
+	// node that restarted can learn from others what it had acknowledged.
+	// Empty and zero for a target without identity.
+	ID       string
+	Born     int64
+	Sequence uint64
+	// Draining and Gone tell that the target takes no new work, or left.
+	Draining bool
+	Gone     bool
 }
 
 // Record is what everybody knows of one node.
@@ -60,6 +69,8 @@
 	Sequence uint64
 	State    State
 	Upstream Upstream
+	// Root is true on control VMs, which are the roots of distribution.
+	Root bool
 }
 
 // Newer reports whether record overrides other.
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
@@ -20,6 +21,9 @@
 // serveAdmin takes the announcements of the upstream beside this node and
 // shows the node's state.
 func (node *Node) serveAdmin(request *fasthttp.RequestCtx) {
+	if node.extra != nil && node.extra(request) {
+		return
+	}
 	switch method, path := string(request.Method()), string(request.Path()); {
 	case method == "POST" && path == "/v1/announce":
 		node.takeAnnouncement(request)
@@ -28,6 +32,8 @@
 		request.SetBodyString("{}\n")
 	case method == "GET" && path == "/v1/health":
 		node.health(request)
+	case method == "GET" && path == "/v1/ready":
+		node.ready(request)
 	case method == "GET" && path == "/metrics":
 		node.stats.Write(request)
 	default:
@@ -48,21 +54,18 @@
 		request.SetBody(append(wire.Must(wire.APIError{Code: wire.CodeInvalid, Reason: reason}), '\n'))
 		return
 	}
-	announced.until = node.now().Add(ttl)
-	if node.gate.accept(announced) {
-		node.announce()
-	}
+	node.gate.accept(announced, ttl)
 	request.SetBodyString("{}\n")
 }
 
-func checkAnnouncement(announcement wire.Announcement) (upstream, time.Duration, string) {
+func checkAnnouncement(announcement wire.Announcement) (lease.Notice, time.Duration, string) {
 	ttl, err := time.ParseDuration(announcement.TTL)
 	_, _, addressErr := net.SplitHostPort(announcement.Address)
-	announced := upstream{
-		service: announcement.Service,
-		version: announcement.Version,
-		address: announcement.Address,
-		slots:   announcement.Slots,
+	announced := lease.Notice{
+		Service: announcement.Service,
+		Version: announcement.Version,
+		Address: announcement.Address,
+		Slots:   announcement.Slots,
 	}
 	switch {
 	case announcement.Service == "" || announcement.Version == "":
@@ -85,3 +88,26 @@
 	}
 	request.SetBodyString(fmt.Sprintf("{\"version\":%d}\n", version))
 }
+
+// ready tells whether new callers should be sent here.
+func (node *Node) ready(request *fasthttp.RequestCtx) {
+	if node.version() == 0 || node.stopping.Load() {
+		request.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	request.SetBodyString("{}\n")
+}
+
+// Announce takes an upstream's notice. It returns false while this node cannot
+// tell whether the notice is overtaken.
+func (node *Node) Announce(notice lease.Notice) bool {
+	if !notice.Draining && !node.recalled() {
+		return false
+	}
+	if !node.gate.accept(notice, node.noticeTTL) {
+		node.log.Info("notice overtaken", "upstream", notice.ID, "born", notice.Born, "sequence", notice.Sequence)
+	}
+	return true
+}
+
+// Deregister ends an upstream's life; born zero means the one that is known.
+func (node *Node) Deregister(id string, born int64) { node.gate.deregister(id, born) }
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -123,7 +123,7 @@
 	case dedup.Ran:
 		err := request.Response.Read(bufio.NewReader(bytes.NewReader(outcome.Answer)))
 		if err != nil {
-			answer(request, fasthttp.StatusBadGateway, proxy.OutcomeUnknown, "the recorded answer does not read")
+			own{}.Final(&request.Response, Final{Status: fasthttp.StatusBadGateway, Outcome: proxy.OutcomeUnknown, Reason: "the recorded answer does not read"})
 		}
 	case dedup.NotRun:
 		status := fasthttp.StatusServiceUnavailable
@@ -132,7 +132,7 @@
 		}
 		gate.refuse(request, refusal{status: status, reason: outcome.Reason})
 	default:
-		answer(request, fasthttp.StatusBadGateway, proxy.OutcomeUnknown, outcome.Reason)
+		own{}.Final(&request.Response, Final{Status: fasthttp.StatusBadGateway, Outcome: proxy.OutcomeUnknown, Reason: outcome.Reason})
 	}
 }
 
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
@@ -23,16 +25,6 @@
 // before it counts as gone.
 const connectFailures = 3
 
-// upstream is the target beside this node, as it announced itself.
-type upstream struct {
-	service string
-	version string
-	address string
-	slots   int
-	// until is when the announcement expires.
-	until time.Time
-}
-
 // gate is the only way to this node's upstream. Its lock guards all fields.
 type gate struct {
 	node *Node
@@ -40,30 +32,41 @@
 
 	lock     sync.Mutex
 	limit    *limit.Gate
-	upstream *upstream
+	holder   *lease.Holder
 	leaving  bool
 	failures int
 }
 
 func newGate(node *Node) *gate {
-	return &gate{node: node, log: node.logs.Layer("gate"), limit: limit.New(0, node.settings.Queue)}
+	return &gate{node: node, log: node.logs.Layer("gate"), limit: limit.New(0, node.settings.Queue), holder: lease.New()}
 }
 
 // record describes this node and its upstream to the others.
 func (gate *gate) record() member.Record {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	record := member.Record{Gate: gate.node.settings.Gate, Incarnation: gate.node.incarnation, State: member.StateIdle}
-	if gate.upstream != nil {
-		record.State = member.StateServing
-		record.Upstream = member.Upstream{
-			Service: gate.upstream.service,
-			Version: gate.upstream.version,
-			Slots:   gate.upstream.slots,
-		}
+	last := gate.holder.Last()
+	_, held := gate.holder.Current()
+	record := member.Record{
+		Gate:        gate.node.settings.Gate,
+		Incarnation: gate.node.incarnation,
+		State:       member.StateIdle,
+		Upstream: member.Upstream{
+			Service:  last.Service,
+			Version:  last.Version,
+			Slots:    last.Slots,
+			ID:       last.ID,
+			Born:     last.Born,
+			Sequence: last.Sequence,
+			Draining: last.Draining,
+			Gone:     !held,
+		},
 	}
-	if gate.leaving {
+	switch {
+	case gate.leaving:
 		record.State = member.StateLeaving
+	case held && !last.Draining:
+		record.State = member.StateServing
 	}
 	return record
 }
@@ -82,33 +85,96 @@
 	gate.limit.Drain()
 }
 
-// accept takes an upstream's announcement and reports whether it is news.
-func (gate *gate) accept(announced upstream) bool {
+// accept takes an upstream's announcement. It returns false for one that is
+// overtaken, and tells the others when there is news. Once it returns for a
+// draining upstream no further call reaches it.
+func (gate *gate) accept(notice lease.Notice, ttl time.Duration) bool {
 	gate.lock.Lock()
-	defer gate.lock.Unlock()
-	old := gate.upstream
-	gate.upstream = &announced
-	news := old == nil || old.service != announced.service || old.version != announced.version || old.slots != announced.slots
+	old, held := gate.holder.Current()
+	if !gate.holder.Take(gate.node.now(), notice, ttl) {
+		gate.lock.Unlock()
+		return false
+	}
+	notice, _ = gate.holder.Current()
+	news := !held || !sameUpstream(old, notice)
 	if news {
-		gate.failures = 0
-		gate.limit.SetSlots(gate.node.now(), announced.slots)
-		if !gate.leaving {
-			gate.limit.Resume()
-		}
-		gate.log.Info("upstream announced", "service", announced.service, "version", announced.version, "slots", announced.slots)
+		gate.settle(notice)
+	}
+	gate.lock.Unlock()
+	if news {
+		gate.log.Info("upstream announced", "upstream", notice.ID, "service", notice.Service, "version", notice.Version,
+			"slots", notice.Slots, "born", notice.Born, "sequence", notice.Sequence, "draining", notice.Draining)
+		gate.node.announce()
 	}
-	return news
+	return true
+}
+
+// sameUpstream reports whether nothing that others need to know has changed.
+func sameUpstream(old, notice lease.Notice) bool {
+	notice.Sequence, notice.Cold = old.Sequence, old.Cold
+	return old == notice
 }
 
-// withdraw ends the upstream's announcement: it gets no new work.
+// settle makes the admission follow what is believed of the upstream.
+func (gate *gate) settle(notice lease.Notice) {
+	gate.failures = 0
+	gate.limit.SetSlots(gate.node.now(), notice.Slots)
+	if notice.Draining || gate.leaving {
+		gate.limit.Drain()
+		return
+	}
+	gate.limit.Resume()
+}
+
+// recall learns what this node had told of its upstream before a restart.
+func (gate *gate) recall(former member.Record) {
+	upstream := former.Upstream
+	if former.Incarnation >= gate.node.incarnation || upstream.ID == "" {
+		return
+	}
+	gate.lock.Lock()
+	gate.holder.Recall(lease.Notice{
+		ID: upstream.ID, Born: upstream.Born, Sequence: upstream.Sequence, Draining: upstream.Draining,
+		Service: upstream.Service, Version: upstream.Version, Slots: upstream.Slots,
+	}, upstream.Gone)
+	notice, held := gate.holder.Current()
+	if held {
+		gate.settle(notice)
+	} else {
+		gate.limit.Drain()
+	}
+	gate.lock.Unlock()
+	gate.log.Info("recalled from others", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
+		"draining", upstream.Draining, "gone", upstream.Gone)
+	// This runs under the tree's lock, so the news is spread later.
+	gate.node.changed.Store(true)
+}
+
+// withdraw ends the upstream's announcement until it speaks again: it gets no
+// new work.
 func (gate *gate) withdraw(reason string) {
 	gate.lock.Lock()
-	gone := gate.upstream != nil
-	gate.upstream = nil
+	notice, gone := gate.holder.Current()
+	gate.holder.Lose()
 	gate.limit.Drain()
 	gate.lock.Unlock()
 	if gone {
-		gate.log.Info("upstream withdrawn", "reason", reason)
+		gate.log.Info("upstream withdrawn", "upstream", notice.ID, "reason", reason)
+		gate.node.announce()
+	}
+}
+
+// deregister ends an upstream's life for good; born zero means the one that is
+// known. Once it returns no further call reaches that upstream.
+func (gate *gate) deregister(id string, born int64) {
+	gate.lock.Lock()
+	present := gate.holder.Leave(id, born)
+	if present {
+		gate.limit.Drain()
+	}
+	gate.lock.Unlock()
+	gate.log.Info("upstream deregistered", "upstream", id, "born", born, "present", present)
+	if present {
 		gate.node.announce()
 	}
 }
@@ -117,7 +183,7 @@
 func (gate *gate) expire() {
 	now := gate.node.now()
 	gate.lock.Lock()
-	late := gate.upstream != nil && now.After(gate.upstream.until)
+	late := gate.holder.Expired(now)
 	gate.limit.Expire(now)
 	gate.lock.Unlock()
 	if late {
@@ -129,63 +195,100 @@
 type refusal struct {
 	status int
 	reason string
+	// room is when a free slot is expected, zero for unknown.
+	room time.Duration
 }
 
 // serve takes a call from an entry node.
-func (gate *gate) serve(request *fasthttp.RequestCtx) {
-	timeout, err := callTimeout(&request.Request, maxHopTimeout)
+func (gate *gate) serve(ctx context.Context, request *fasthttp.RequestCtx) {
+	header := &request.Request.Header
+	timeout, err := readTimeout(header)
 	if err != nil {
-		answer(request, fasthttp.StatusBadRequest, proxy.OutcomeNotRun, err.Error())
+		gate.refuse(request, refusal{status: fasthttp.StatusBadRequest, reason: err.Error()})
 		return
 	}
-	deadline, cancel := context.WithDeadline(gate.node.ctx, gate.node.now().Add(timeout))
+	if timeout == 0 {
+		timeout = maxHopTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if key := request.Request.Header.Peek(proxy.HeaderKey); len(key) > 0 {
+	if key := header.Peek(proxy.HeaderKey); len(key) > 0 && gate.node.keyed {
 		// A keyed call goes on when its caller leaves, so that a resend finds
 		// its answer.
-		gate.node.claims.serve(deadline, gate, request, string(key))
+		detached, end := detach(ctx)
+		defer end()
+		gate.node.claims.serve(detached, gate, request, string(key))
 	} else {
-		ctx, stop := proxy.WatchCaller(deadline, request.Conn())
 		gate.serveOnce(ctx, request)
-		stop()
 	}
 	inFlight, queued := gate.load()
 	request.Response.Header.Set(proxy.HeaderLoad, fmt.Sprintf("%d/%d", inFlight, queued))
 }
 
+// detach returns a context with the same deadline that does not end when the
+// caller leaves.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, _ := ctx.Deadline()
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
 func (gate *gate) serveOnce(ctx context.Context, request *fasthttp.RequestCtx) {
 	upstream, refused := gate.enter(ctx, &request.Request)
 	if refused != nil {
 		gate.refuse(request, *refused)
 		return
 	}
+	if len(request.Request.Header.Peek(proxy.HeaderOnce)) > 0 {
+		// Work that may run only once is not broken off when its caller leaves.
+		detached, end := detach(ctx)
+		defer end()
+		ctx = detached
+	}
 	gate.forward(ctx, upstream, request)
 }
 
 func (gate *gate) refuse(request *fasthttp.RequestCtx, refused refusal) {
 	gate.node.stats.Count(fmt.Sprintf(`vp_gate_refused_total{reason=%q}`, refused.reason), 1)
-	answer(request, refused.status, proxy.OutcomeNotRun, refused.reason)
+	own{}.Final(&request.Response, Final{Status: refused.status, Outcome: proxy.OutcomeNotRun, Reason: refused.reason})
+	if refused.room > 0 {
+		request.Response.Header.Set(proxy.HeaderRetry, milliseconds(refused.room))
+	}
+}
+
+// ticketOf reads what a request says of its rank.
+func (gate *gate) ticketOf(ctx context.Context, header *fasthttp.RequestHeader, decided func(limit.Reason)) *limit.Ticket {
+	deadline, _ := ctx.Deadline()
+	ticket := limit.NewTicket(string(header.Peek(proxy.HeaderCustomer)), deadline, decided)
+	if priority, err := strconv.Atoi(string(header.Peek(proxy.HeaderPriority))); err == nil {
+		ticket.Rank(priority)
+	}
+	if objective := readMilliseconds(header.Peek(proxy.HeaderObjective)); objective > 0 {
+		ticket.UsefulUntil(gate.node.now().Add(objective))
+	}
+	if len(header.Peek(proxy.HeaderQueue)) > 0 {
+		ticket.Impatient()
+	}
+	return ticket
 }
 
 // enter waits for a slot. Without a refusal the caller of enter has one and
 // must call leave.
-func (gate *gate) enter(ctx context.Context, request *fasthttp.Request) (upstream, *refusal) {
+func (gate *gate) enter(ctx context.Context, request *fasthttp.Request) (lease.Notice, *refusal) {
 	service, version := string(request.Header.Peek(proxy.HeaderService)), string(request.Header.Peek(proxy.HeaderVersion))
-	customer := string(request.Header.Peek(proxy.HeaderCustomer))
-	deadline, _ := ctx.Deadline()
 	decided := make(chan limit.Reason, 1)
-	ticket := limit.NewTicket(customer, deadline, func(reason limit.Reason) { decided <- reason })
+	ticket := gate.ticketOf(ctx, &request.Header, func(reason limit.Reason) { decided <- reason })
 	gate.lock.Lock()
-	if gate.upstream == nil || gate.upstream.service != service || gate.upstream.version != version {
+	target, held := gate.holder.Current()
+	if !held || target.Service != service || target.Version != version {
 		reason := "wrong version"
 		if gate.leaving {
 			reason = string(limit.ReasonDraining)
 		}
 		gate.lock.Unlock()
-		return upstream{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reason}
+		return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reason}
 	}
-	target := *gate.upstream
 	verdict, reason := gate.limit.Arrive(gate.node.now(), ticket)
+	room := gate.limit.Room()
 	gate.lock.Unlock()
 	switch verdict {
 	case limit.Run:
@@ -196,7 +299,7 @@
 	if reason == "" {
 		return target, nil
 	}
-	return upstream{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: string(reason)}
+	return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: string(reason), room: room}
 }
 
 // reasonLeft refuses a call whose caller closed its connection.
@@ -237,46 +340,77 @@
 
 // forward brings the call to the upstream, which has a slot for it, and
 // returns the outcome that was answered.
-func (gate *gate) forward(ctx context.Context, target upstream, request *fasthttp.RequestCtx) proxy.Outcome {
+func (gate *gate) forward(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx) proxy.Outcome {
 	started := gate.node.now()
 	defer func() { gate.leave(gate.node.now().Sub(started)) }()
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
 	request.Request.CopyTo(outgoing)
-	outgoing.Header.Del(proxy.HeaderService)
-	outgoing.Header.Del(proxy.HeaderVersion)
+	caller := string(outgoing.Header.Peek(proxy.HeaderCaller))
+	for _, name := range gateHeaders {
+		outgoing.Header.Del(name)
+	}
+	outgoing.Header.SetNoDefaultContentType(true)
 	deadline, _ := ctx.Deadline()
-	outgoing.Header.Set(proxy.HeaderTimeout, fmt.Sprint(max(1, deadline.Sub(started).Milliseconds())))
-	err := gate.node.pools.Do(ctx, target.address, outgoing, &request.Response)
+	gate.node.dialect.Handover(outgoing, Handover{Timeout: deadline.Sub(started), UpstreamID: target.ID, CallerService: caller})
+	err := gate.node.targets.Do(ctx, target.Address, outgoing, &request.Response)
 	return gate.conclude(ctx, target, request, err)
 }
 
+// gateHeaders are for the gate only.
+var gateHeaders = []string{
+	proxy.HeaderService, proxy.HeaderVersion, proxy.HeaderCaller, proxy.HeaderObjective,
+	proxy.HeaderPriority, proxy.HeaderQueue, proxy.HeaderOnce,
+}
+
 // conclude marks the answer with what is certain.
-func (gate *gate) conclude(ctx context.Context, target upstream, request *fasthttp.RequestCtx, err error) proxy.Outcome {
-	var exchange *proxy.ExchangeError
+func (gate *gate) conclude(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+	if err != nil {
+		return gate.concludeLost(ctx, request, err)
+	}
+	header := &request.Response.Header
+	header.ResetConnectionClose()
+	gate.connected(true)
+	told := gate.node.dialect.Told(&request.Response)
+	if told.Stranger {
+		gate.withdraw("another upstream answers at its address")
+	}
 	switch {
-	case err == nil:
-		request.Response.Header.ResetConnectionClose()
-		request.Response.Header.Set(proxy.HeaderOutcome, string(proxy.OutcomeRan))
-		request.Response.Header.Set(proxy.HeaderVersion, target.version)
-		request.Response.Header.Set(proxy.HeaderTarget, gate.node.settings.Name)
-		gate.connected(true)
-		return proxy.OutcomeRan
-	case errors.As(err, &exchange) && !exchange.Sent:
+	case told.Stranger || told.NotRun:
+		gate.refuse(request, refusal{status: fasthttp.StatusServiceUnavailable, reason: "the upstream refused it"})
+		header.Set(proxy.HeaderTarget, gate.node.settings.Name)
+		return proxy.OutcomeNotRun
+	case told.Unproven:
+		return gate.unknown(ctx, request, "the upstream's answer is not a genuine one")
+	}
+	header.Set(proxy.HeaderOutcome, string(proxy.OutcomeRan))
+	header.Set(proxy.HeaderVersion, target.Version)
+	header.Set(proxy.HeaderTarget, gate.node.settings.Name)
+	return proxy.OutcomeRan
+}
+
+func (gate *gate) concludeLost(ctx context.Context, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+	var exchange *proxy.ExchangeError
+	if errors.As(err, &exchange) && !exchange.Sent {
 		gate.refuse(request, refusal{status: fasthttp.StatusServiceUnavailable, reason: "the upstream cannot be reached"})
 		if ctx.Err() == nil {
 			gate.connected(false)
 		}
 		return proxy.OutcomeNotRun
-	default:
-		status := fasthttp.StatusBadGateway
-		if ctx.Err() != nil {
-			status = fasthttp.StatusGatewayTimeout
-		}
-		gate.node.stats.Count("vp_gate_lost_answers_total", 1)
-		answer(request, status, proxy.OutcomeUnknown, "the upstream gave no whole answer: "+err.Error())
-		return proxy.OutcomeUnknown
 	}
+	return gate.unknown(ctx, request, "the upstream gave no whole answer: "+err.Error())
+}
+
+// unknown answers a call that may have run.
+func (gate *gate) unknown(ctx context.Context, request *fasthttp.RequestCtx, reason string) proxy.Outcome {
+	status := fasthttp.StatusBadGateway
+	if ctx.Err() != nil {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	gate.node.stats.Count("vp_gate_lost_answers_total", 1)
+	own{}.Final(&request.Response, Final{Status: status, Outcome: proxy.OutcomeUnknown, Reason: reason})
+	request.Response.Header.Set(proxy.HeaderTarget, gate.node.settings.Name)
+	return proxy.OutcomeUnknown
 }
 
 // connected counts failed connections to the upstream in a row.
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -18,7 +18,7 @@
 
 // guardEvery is how often a node looks at what it has seen itself and passes
 // it on.
-const guardEvery = 250 * time.Millisecond
+const guardEvery = 100 * time.Millisecond
 
 // watched is what a node has seen of one rollout.
 type watched struct {
@@ -54,7 +54,7 @@
 func (guard *guard) share(rollout rsrc.Rollout) int {
 	guard.lock.Lock()
 	defer guard.lock.Unlock()
-	held, ok := guard.byRoute[rollout.Route()]
+	held, ok := guard.byRoute[rollout.Subject()]
 	if ok && held.rollout.Epoch() == rollout.Epoch() && held.tripped {
 		return 0
 	}
@@ -63,20 +63,20 @@
 
 // observe counts one try on a version.
 func (guard *guard) observe(rollout rsrc.Rollout, version string, result result, latency time.Duration) {
-	failed, counts := verdict(result)
+	failed, counts := verdict(result, rollout.Service() != "")
 	if !counts {
 		return
 	}
 	guard.lock.Lock()
 	defer guard.lock.Unlock()
-	held, ok := guard.byRoute[rollout.Route()]
+	held, ok := guard.byRoute[rollout.Subject()]
 	if !ok || held.rollout.Epoch() != rollout.Epoch() {
 		held = newWatched(rollout)
-		guard.byRoute[rollout.Route()] = held
+		guard.byRoute[rollout.Subject()] = held
 	}
 	held.rollout = rollout
 	observation := &held.before
-	if version == rollout.To() {
+	if rollout.Takes(version, true) {
 		observation = &held.after
 	}
 	observation.Calls++
@@ -88,20 +88,22 @@
 }
 
 func newWatched(rollout rsrc.Rollout) *watched {
-	observation := distr.Observation{Route: rollout.Route(), Epoch: rollout.Epoch()}
+	observation := distr.Observation{Route: rollout.Subject(), Epoch: rollout.Epoch()}
 	held := &watched{evidence: canary.NewEvidence(), before: observation, after: observation}
 	held.before.Version, held.after.Version = rollout.From(), rollout.To()
 	return held
 }
 
 // verdict tells whether a try speaks for or against its version at all. A
-// planned stop and a caller that left do not.
-func verdict(result result) (failed, counts bool) {
+// planned stop and a caller that left do not. During the rollout of a whole
+// service a gate without a free slot is usual: the new version has few targets
+// at first.
+func verdict(result result, whole bool) (failed, counts bool) {
 	switch {
 	case result.learned == picker.ResultCanceled:
 		return false, false
 	case result.outcome == proxy.OutcomeNotRun:
-		return true, result.reason == string(limit.ReasonFull) || result.learned == picker.ResultFailed
+		return true, result.reason == string(limit.ReasonFull) && !whole || result.learned == picker.ResultFailed
 	default:
 		return result.learned == picker.ResultFailed, true
 	}
@@ -163,5 +165,5 @@
 	}
 	held.tripped = true
 	guard.node.stats.Count("vp_guard_tripped_total", 1)
-	guard.log.Info("share lowered on this node", "route", held.rollout.Route(), "to", held.rollout.To(), "cause", cause)
+	guard.log.Info("share lowered on this node", "route", held.rollout.Subject(), "to", held.rollout.To(), "cause", cause)
 }
--- /dev/null
+++ b/internal/node/judge.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/picker"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+)
+
+// result is what one try came to.
+type result struct {
+	outcome proxy.Outcome
+	reason  string
+	learned picker.Result
+	load    *picker.Load
+	// final forbids another try.
+	final bool
+	// spent is true when an upstream saw the call, whatever came of it.
+	spent bool
+	// retryAfter is the pause that an upstream asked for.
+	retryAfter time.Duration
+	// room is when a gate that refused expects a free slot.
+	room time.Duration
+}
+
+// judge tells how a try ended. Only the gate's own word, or the certainty
+// that nothing was sent, counts as not run.
+func (node *Node) judge(ctx context.Context, err error, response *fasthttp.Response) result {
+	var exchange *proxy.ExchangeError
+	if errors.As(err, &exchange) {
+		return judgeLost(ctx, exchange)
+	}
+	judged := result{
+		outcome: proxy.Outcome(response.Header.Peek(proxy.HeaderOutcome)),
+		reason:  string(response.Header.Peek(proxy.HeaderReason)),
+		load:    readLoad(string(response.Header.Peek(proxy.HeaderLoad))),
+		spent:   len(response.Header.Peek(proxy.HeaderTarget)) > 0,
+		room:    readMilliseconds(response.Header.Peek(proxy.HeaderRetry)),
+	}
+	switch judged.outcome {
+	case proxy.OutcomeRan:
+		if response.StatusCode() >= fasthttp.StatusInternalServerError {
+			judged.learned = picker.ResultFailed
+			judged.retryAfter = retryAfter(response)
+		}
+	case proxy.OutcomeNotRun:
+		judged.learned = picker.ResultRefused
+		if judged.spent {
+			judged.learned = picker.ResultFailed
+		}
+		judged.final = response.StatusCode() < fasthttp.StatusInternalServerError
+	default:
+		judged.outcome, judged.learned = proxy.OutcomeUnknown, picker.ResultFailed
+		judged.final = true
+	}
+	return judged
+}
+
+// retryAfter reads the pause an upstream asks for, if it names seconds.
+func retryAfter(response *fasthttp.Response) time.Duration {
+	seconds, err := strconv.Atoi(string(response.Header.Peek("Retry-After")))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+func readMilliseconds(text []byte) time.Duration {
+	milliseconds, err := strconv.Atoi(string(text))
+	if err != nil || milliseconds < 0 {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+func judgeLost(ctx context.Context, exchange *proxy.ExchangeError) result {
+	lost := result{outcome: proxy.OutcomeUnknown, reason: exchange.Err.Error(), learned: picker.ResultFailed, spent: true}
+	if !exchange.Sent {
+		lost.outcome, lost.spent = proxy.OutcomeNotRun, false
+	}
+	if errors.Is(context.Cause(ctx), proxy.ErrCallerLeft) {
+		lost.learned = picker.ResultCanceled
+		lost.reason = proxy.ErrCallerLeft.Error()
+	} else if ctx.Err() != nil {
+		lost.reason = "deadline"
+	}
+	return lost
+}
+
+func readLoad(text string) *picker.Load {
+	first, second, ok := strings.Cut(text, "/")
+	if !ok {
+		return nil
+	}
+	inFlight, err := strconv.Atoi(first)
+	if err != nil {
+		return nil
+	}
+	queued, err := strconv.Atoi(second)
+	if err != nil {
+		return nil
+	}
+	return &picker.Load{InFlight: inFlight, Queued: queued}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/front"
 	"github.com/vanillapulley/vanillapulley/internal/link"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
 	"github.com/vanillapulley/vanillapulley/internal/member"
@@ -39,11 +41,44 @@
 	maxBody     = 64 << 20
 	// bookkeeping is how often targets, leases and deadlines are looked at.
 	bookkeeping = 50 * time.Millisecond
-	// callerIdle is how long a caller's connection may lie unused; it is above
-	// the pools' own limit, so that the client side closes first.
-	callerIdle = time.Minute
+	// callPoolSize bounds the calls in progress on one node, as caller's node
+	// and as gate together.
+	callPoolSize = 4096
+	// noticeBeats is how many heartbeats of an upstream may be missing before
+	// it counts as gone.
+	noticeBeats = 3
 )
 
+// Timing of the connections to other nodes and to the upstream.
+const (
+	// gateDial is many round trips between availability zones, and short enough
+	// for another try within a call's time.
+	gateDial = 250 * time.Millisecond
+	// targetDial covers a target that is busy; it is on the same VM.
+	targetDial = 500 * time.Millisecond
+	// callSilence finds a connection that went silent within the time in which
+	// a node still counts as connected.
+	callSilence = time.Second
+	// gateIdle is below the idle time of the gates' servers.
+	gateIdle = 20 * time.Second
+	// targetIdle holds for upstreams that state no idle time.
+	targetIdle = 8 * time.Second
+)
+
+func gateSettings() proxy.Settings {
+	settings := proxy.DefaultSettings()
+	settings.MaxConns = callPoolSize
+	settings.MaxIdle, settings.Dial, settings.Silence = gateIdle, gateDial, callSilence
+	return settings
+}
+
+func targetSettings(dialect Dialect) proxy.Settings {
+	settings := proxy.DefaultSettings()
+	settings.MaxIdle, settings.Dial, settings.Silence = targetIdle, targetDial, callSilence
+	settings.Identity, settings.Belongs = true, dialect.Belongs
+	return settings
+}
+
 // Deps are what a node depends on.
 type Deps struct {
 	Settings config.Node
@@ -52,6 +87,11 @@
 	Now      func() time.Time
 	// Random makes a source of random numbers; each core gets its own.
 	Random func() *rand.Rand
+	// Dialect is how callers and upstreams speak; nil means the project's own.
+	Dialect Dialect
+	// Admin serves requests to the admin address that are not the project's
+	// own; nil means none. It returns false for a request that it leaves alone.
+	Admin func(node *Node, request *fasthttp.RequestCtx) bool
 }
 
 // Node is the daemon of one node. Lock order: gate.lock or claims.lock, then
@@ -68,7 +108,21 @@
 	traffic *link.Traffic
 	caller  *link.Caller
 	tree    *tree.Tree
-	pools   *proxy.Pools
+	// gates has the connections to other nodes, targets those to the upstream.
+	gates   *proxy.Pools
+	targets *proxy.Pools
+	dialect Dialect
+	// keyed is true when callers may give idempotency keys.
+	keyed   bool
+	extra   func(request *fasthttp.RequestCtx) bool
+	callLog logr.Logger
+	// calls runs the handlers of calls.
+	calls     *ants.Pool
+	noticeTTL time.Duration
+	// stopping is true from the order to stop on.
+	stopping atomic.Bool
+	// changed is true when the own record has to be announced again.
+	changed atomic.Bool
 	gate    *gate
 	claims  *claims
 	guard   *guard
@@ -77,10 +131,14 @@
 	// config is in force; nil until the first one at or above the floor.
 	config atomic.Pointer[rsrc.Config]
 
-	// lock guards picker, budget and random.
+	// lock guards picker, budgets, peers, splits and random.
 	lock   sync.Mutex
 	picker *picker.Picker
-	budget *retry.Budget
+	// budgets has one for each service.
+	budgets map[string]*retry.Budget
+	// peers is how many nodes share the budgets, this one included.
+	peers  int
+	splits *splits
 	random *rand.Rand
 	// tableVersion is the membership the picker was last given; only the
 	// bookkeeping task uses it.
@@ -93,6 +151,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	calls, err := ants.NewPool(callPoolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	started := deps.Now()
 	random := deps.Random()
 	node := &Node{
@@ -104,11 +166,25 @@
 		incarnation: uint64(started.UnixNano()),
 		pool:        pool,
 		traffic:     &link.Traffic{},
-		pools:       proxy.New(proxy.DefaultSettings(), deps.Now),
+		calls:       calls,
+		dialect:     deps.Dialect,
+		callLog:     deps.Logs.Layer("calls"),
+		noticeTTL:   noticeBeats * time.Duration(deps.Settings.Heartbeat),
 		random:      random,
 		picker:      picker.New(deps.Settings.Zone, random),
-		budget:      retry.New(retry.DefaultSettings(), random),
+		budgets:     map[string]*retry.Budget{},
+		peers:       1,
+		splits:      newSplits(),
 	}
+	if node.dialect == nil {
+		node.dialect, node.keyed = own{}, true
+	}
+	if deps.Admin != nil {
+		node.extra = func(request *fasthttp.RequestCtx) bool { return deps.Admin(node, request) }
+	}
+	node.gates = proxy.New(gateSettings(), deps.Now)
+	node.targets = proxy.New(targetSettings(node.dialect), deps.Now)
+	node.picker.Near(deps.Settings.Name)
 	node.gate = newGate(node)
 	node.claims = newClaims(node, started)
 	node.guard = newGuard(node)
@@ -137,6 +213,8 @@
 	callers net.Listener
 	gate    net.Listener
 	admin   net.Listener
+	// ready is nil when readiness is asked at the admin address only.
+	ready net.Listener
 }
 
 func (node *Node) listen() (listeners, error) {
@@ -156,6 +234,9 @@
 	opened.callers = open("callers", node.settings.Callers)
 	opened.gate = open("gate", node.settings.Gate)
 	opened.admin = open("admin", node.settings.Admin)
+	if node.settings.Ready != "" {
+		opened.ready = open("ready", node.settings.Ready)
+	}
 	return opened, err
 }
 
@@ -174,40 +255,68 @@
 	node.caller = link.NewCaller(background, node.options())
 	node.gauges()
 	group := tasks.New(8)
-	callers := node.server(node.serveCaller)
-	gates := node.server(node.gate.serve)
-	admin := node.server(node.serveAdmin)
+	callers := node.server(node.serveCaller, node.limits)
+	gates := node.server(node.gate.serve, front.DefaultLimits)
+	admin := &fasthttp.Server{Handler: node.serveAdmin, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, Logger: silent{}}
 	group.Go(background, "tree", func(ctx context.Context) error { return node.tree.Run(ctx, opened.link) })
 	group.Go(background, "bookkeeping", node.keepBooks)
 	group.Go(background, "guard", node.guard.run)
-	group.Go(background, "callers", func(context.Context) error { return callers.Serve(opened.callers) })
-	group.Go(background, "gate", func(context.Context) error { return gates.Serve(opened.gate) })
+	group.Go(background, "callers", func(ctx context.Context) error { return callers.Serve(ctx, opened.callers) })
+	group.Go(background, "gate", func(ctx context.Context) error { return gates.Serve(ctx, opened.gate) })
 	group.Go(background, "admin", func(context.Context) error { return admin.Serve(opened.admin) })
+	if opened.ready != nil {
+		group.Go(background, "ready", func(context.Context) error { return admin.Serve(opened.ready) })
+	}
 	node.announce()
-	node.log.Info("started", "name", node.settings.Name, "callers", node.settings.Callers)
+	node.log.Info("started", "name", node.settings.Name, "callers", node.settings.Callers, "incarnation", node.incarnation)
 	var failure error
 	select {
 	case <-ctx.Done():
 	case end := <-group.Ends():
 		failure = trace.Wrap(end.Err, "%s ended", end.Name)
 	}
-	failure = errors.Join(failure, node.leave(callers, gates, admin))
+	failure = errors.Join(failure, node.leave(opened, callers, gates), admin.Shutdown())
 	cancel()
 	group.Wait()
 	node.log.Info("stopped")
 	return failure
 }
 
-func (node *Node) server(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               handler,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-		IdleTimeout:           callerIdle,
-		MaxRequestBodySize:    maxBody,
-		Logger:                silent{},
+// limits bound what callers may send, as the configuration in force says.
+func (node *Node) limits() front.Limits {
+	limits := front.DefaultLimits()
+	config := node.config.Load()
+	if config == nil {
+		return limits
+	}
+	edition, ok := config.Edition()
+	if !ok {
+		return limits
 	}
+	stated := edition.Limits()
+	set(&limits.MaxHeader, stated.MaxHeader)
+	set(&limits.MaxBody, stated.MaxBody)
+	set(&limits.HeaderTimeout, stated.HeaderTimeout)
+	set(&limits.Idle, stated.IdleTimeout)
+	return limits
+}
+
+// set replaces a default by a stated value.
+func set[T int | time.Duration](target *T, stated T) {
+	if stated > 0 {
+		*target = stated
+	}
+}
+
+func (node *Node) server(handler front.Handler, limits func() front.Limits) *front.Server {
+	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.calls, Refused: node.refusedRequest})
+}
+
+// refusedRequest answers what cannot be read, or cannot be run for want of a
+// worker; neither has run.
+func (node *Node) refusedRequest(response *fasthttp.Response, status int) {
+	node.stats.Count("vp_requests_refused_total", 1)
+	node.dialect.Final(response, Final{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)})
 }
 
 type silent struct{}
@@ -215,22 +324,40 @@
 // Printf drops the server's own lines; failed exchanges are counted.
 func (silent) Printf(string, ...any) {}
 
-// leavePause lets the news of leaving reach the other nodes while this one
-// still answers.
-const leavePause = 300 * time.Millisecond
+const (
+	// leavePause lets the news of leaving reach the other nodes while this one
+	// still answers.
+	leavePause = 300 * time.Millisecond
+	// leaveReserve is the part of the grace that is kept for the end of the
+	// process itself.
+	leaveReserve = 700 * time.Millisecond
+	// leaveLook is the pause between two looks for calls in progress.
+	leaveLook = 20 * time.Millisecond
+)
 
 // leave is the planned stop: first no new work, then the calls in progress
-// end, then the node is gone.
-func (node *Node) leave(servers ...*fasthttp.Server) error {
+// end, then the node is gone. Callers are served until they had the time to
+// see that the node is not ready.
+func (node *Node) leave(opened listeners, callers, gates *front.Server) error {
 	node.log.Info("leaving")
+	node.stopping.Store(true)
 	node.gate.drain()
 	node.announce()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(node.settings.Grace))
+	began := node.now()
+	grace := time.Duration(node.settings.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), max(leavePause, grace-leaveReserve))
 	defer cancel()
-	time.Sleep(leavePause)
-	var failure error
-	for _, server := range servers {
-		if err := server.ShutdownWithContext(ctx); err != nil {
+	pause := max(leavePause, time.Duration(node.settings.Notice))
+	for ctx.Err() == nil && (node.now().Sub(began) < pause || callers.Active()+gates.Active() > 0) {
+		time.Sleep(leaveLook)
+		if node.now().Sub(began) >= pause {
+			callers.Drain()
+			gates.Drain()
+		}
+	}
+	failure := errors.Join(opened.callers.Close(), opened.gate.Close())
+	for _, server := range []*front.Server{callers, gates} {
+		if err := server.Shutdown(ctx); err != nil {
 			failure = errors.Join(failure, trace.Wrap(err, "calls were still in progress at the end of the grace"))
 		}
 	}
@@ -250,6 +377,9 @@
 // keepBooks updates the picker's targets and looks at leases and deadlines.
 func (node *Node) keepBooks(ctx context.Context) error {
 	return tasks.Every(ctx, bookkeeping, func() {
+		if node.changed.Swap(false) {
+			node.announce()
+		}
 		node.updateTargets()
 		node.gate.expire()
 	})
@@ -262,8 +392,13 @@
 	}
 	node.tableVersion = version
 	node.claims.setNodes(records)
+	node.followRoots(records)
 	var targets []picker.Target
+	peers := 0
 	for _, record := range records {
+		if !record.Root {
+			peers++
+		}
 		if record.State != member.StateServing && record.State != member.StateSuspect || record.Upstream.Service == "" {
 			continue
 		}
@@ -280,6 +415,12 @@
 	node.lock.Lock()
 	defer node.lock.Unlock()
 	node.picker.SetTargets(node.now(), targets)
+	if peers = max(1, peers); peers != node.peers {
+		node.peers = peers
+		for _, budget := range node.budgets {
+			budget.Resize(node.retrySettings())
+		}
+	}
 }
 
 func (node *Node) gauges() {
@@ -304,6 +445,25 @@
 	node.claims.setWitnesses(config)
 }
 
+// Recall implements tree.Host: others remember what this node had told of its
+// upstream before it was restarted.
+func (node *Node) Recall(former member.Record) { node.gate.recall(former) }
+
+// recalled reports whether others were asked for what this node had told.
+func (node *Node) recalled() bool { return node.version() > 0 }
+
+// followRoots keeps the addresses of the control VMs: those of the settings
+// and those that have announced themselves since.
+func (node *Node) followRoots(records []member.Record) {
+	roots := slices.Clone(node.settings.Control)
+	for _, record := range records {
+		if record.Root && record.State != member.StateSuspect && !slices.Contains(roots, record.Link) {
+			roots = append(roots, record.Link)
+		}
+	}
+	node.tree.Do(func(core *distr.Core, _ time.Time) { core.KnowParents(roots) })
+}
+
 // Confirm implements tree.Host; only roots confirm.
 func (node *Node) Confirm(distr.LinkID) {}
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -63,8 +63,8 @@
 	slowStartMinimum = 0.1
 )
 
-// state is what the picker has learned of one target.
-type state struct {
+// targetState is what the picker has learned of one target.
+type targetState struct {
 	target Target
 	// latency is a peak-sensitive moving average, in seconds.
 	latency  float64
@@ -81,34 +81,55 @@
 	pausedUntil time.Time
 }
 
-type group struct {
-	service string
-	version string
-}
-
 // Picker holds the targets of all services. It is not safe for concurrent
 // use.
 type Picker struct {
 	zone   string
+	self   string
 	random *rand.Rand
-	states map[string]*state
-	groups map[group][]*state
+	states map[string]*targetState
+	// groups holds the targets of each service, sorted by name.
+	groups map[string][]*targetState
 }
 
 // New returns a picker for a node in the given zone.
 func New(zone string, random *rand.Rand) *Picker {
-	return &Picker{zone: zone, random: random, states: map[string]*state{}, groups: map[group][]*state{}}
+	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, groups: map[string][]*targetState{}}
+}
+
+// Near names the target beside this node, which is preferred while it has
+// room: a call to it crosses no network.
+func (picker *Picker) Near(self string) { picker.self = self }
+
+// Want describes the target that a call needs.
+type Want struct {
+	Service string
+	// Takes tells whether a version will do; nil means any.
+	Takes func(version string) bool
+	// Tried lists targets that are not to be chosen again.
+	Tried []string
+}
+
+func (want Want) fits(state *targetState) bool {
+	return (want.Takes == nil || want.Takes(state.target.Version)) && !slices.Contains(want.Tried, state.target.Name)
+}
+
+// Choice is a chosen target.
+type Choice struct {
+	Target Target
+	// Room is true when the target is believed to have a free slot.
+	Room bool
 }
 
 // SetTargets replaces the set of targets and keeps what was learned of those
 // that stay.
 func (picker *Picker) SetTargets(now time.Time, targets []Target) {
-	states := make(map[string]*state, len(targets))
+	states := make(map[string]*targetState, len(targets))
 	clear(picker.groups)
 	for _, target := range targets {
 		held, ok := picker.states[target.Name]
 		if !ok || held.target.Service != target.Service || held.target.Version != target.Version {
-			held = &state{since: now, latency: coldLatency.Seconds(), measured: now}
+			held = &targetState{since: now, latency: coldLatency.Seconds(), measured: now}
 		}
 		held.target = target
 		states[target.Name] = held
@@ -116,42 +137,79 @@
 	picker.states = states
 	for _, name := range slices.SortedFunc(maps.Keys(states), strings.Compare) {
 		held := states[name]
-		key := group{service: held.target.Service, version: held.target.Version}
-		picker.groups[key] = append(picker.groups[key], held)
+		picker.groups[held.target.Service] = append(picker.groups[held.target.Service], held)
 	}
 }
 
 // Count returns the number of targets of a version.
 func (picker *Picker) Count(service, version string) int {
-	return len(picker.groups[group{service: service, version: version}])
+	return picker.Versions(service, func(other string) bool { return other == version })
+}
+
+// Versions returns the number of targets whose version will do.
+func (picker *Picker) Versions(service string, takes func(version string) bool) int {
+	count := 0
+	for _, state := range picker.groups[service] {
+		if takes(state.target.Version) {
+			count++
+		}
+	}
+	return count
+}
+
+// Common returns the version that most targets of a service run, the first by
+// name among equals.
+func (picker *Picker) Common(service string) string {
+	counts := map[string]int{}
+	for _, state := range picker.groups[service] {
+		counts[state.target.Version]++
+	}
+	common := ""
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		if counts[version] > counts[common] {
+			common = version
+		}
+	}
+	return common
 }
 
 // Pick chooses a target of a version that is not in tried, and counts a call
 // in flight on it until Done.
 func (picker *Picker) Pick(now time.Time, service, version string, tried []string) (Target, bool) {
-	all := picker.groups[group{service: service, version: version}]
-	usable := slices.DeleteFunc(slices.Clone(all), func(state *state) bool {
-		return slices.Contains(tried, state.target.Name)
-	})
+	choice, ok := picker.Choose(now, Want{Service: service, Takes: func(other string) bool { return other == version }, Tried: tried})
+	return choice.Target, ok
+}
+
+// Choose chooses a target, and counts a call in flight on it until Done.
+func (picker *Picker) Choose(now time.Time, want Want) (Choice, bool) {
+	var usable []*targetState
+	for _, state := range picker.groups[want.Service] {
+		if want.fits(state) {
+			usable = append(usable, state)
+		}
+	}
 	if len(usable) == 0 {
-		return Target{}, false
+		return Choice{}, false
 	}
 	chosen := picker.choose(now, picker.prefer(now, usable))
+	room := chosen.hasRoom(now)
 	chosen.inFlight++
-	return chosen.target, true
+	return Choice{Target: chosen.target, Room: room}, true
 }
 
 // prefer narrows the candidates while some remain: not suspect, not ejected,
-// not just refused, own zone with room.
-func (picker *Picker) prefer(now time.Time, candidates []*state) []*state {
-	wishes := []func(*state) bool{
-		func(state *state) bool { return !state.target.Suspect },
-		func(state *state) bool { return !now.Before(state.ejected) },
-		func(state *state) bool { return !now.Before(state.pausedUntil) },
-		func(state *state) bool { return state.target.Zone == picker.zone && state.hasRoom(now) },
+// not just refused, with room, in the own zone, beside this node.
+func (picker *Picker) prefer(now time.Time, candidates []*targetState) []*targetState {
+	wishes := []func(*targetState) bool{
+		func(state *targetState) bool { return !state.target.Suspect },
+		func(state *targetState) bool { return !now.Before(state.ejected) },
+		func(state *targetState) bool { return !now.Before(state.pausedUntil) },
+		func(state *targetState) bool { return state.hasRoom(now) },
+		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasRoom(now) },
+		func(state *targetState) bool { return state.target.Name == picker.self && state.hasRoom(now) },
 	}
 	for _, wish := range wishes {
-		kept := slices.DeleteFunc(slices.Clone(candidates), func(state *state) bool { return !wish(state) })
+		kept := slices.DeleteFunc(slices.Clone(candidates), func(state *targetState) bool { return !wish(state) })
 		if len(kept) > 0 {
 			candidates = kept
 		}
@@ -161,19 +219,19 @@
 
 // busy is the larger of the own calls in flight and the target's own fresh
 // figure.
-func (state *state) busy(now time.Time) int {
+func (state *targetState) busy(now time.Time) int {
 	if now.Sub(state.loadAt) > loadStale {
 		return state.inFlight
 	}
 	return max(state.inFlight, state.load.InFlight+state.load.Queued)
 }
 
-func (state *state) hasRoom(now time.Time) bool {
+func (state *targetState) hasRoom(now time.Time) bool {
 	return state.busy(now)*100 < state.target.Slots*zoneRoomPercent
 }
 
 // cost is the expected wait of one more call; lower is better.
-func (state *state) cost(now time.Time) float64 {
+func (state *targetState) cost(now time.Time) float64 {
 	latency := state.decayed(now)
 	slots := max(1, state.target.Slots)
 	return latency * (1 + float64(state.busy(now))/float64(slots)*2) * float64(state.inFlight+1)
@@ -181,18 +239,18 @@
 
 // warmth is the part of its even share that a target may get, which rises from
 // its first appearance on.
-func (state *state) warmth(now time.Time) float64 {
+func (state *targetState) warmth(now time.Time) float64 {
 	return min(1, max(slowStartMinimum, now.Sub(state.since).Seconds()/slowStart.Seconds()))
 }
 
 // decayed lets an old high latency fade, so that a target that was slow is
 // tried again.
-func (state *state) decayed(now time.Time) float64 {
+func (state *targetState) decayed(now time.Time) float64 {
 	fade := math.Exp(-now.Sub(state.measured).Seconds() / latencyDecay.Seconds())
 	return max(state.latency*fade, coldLatency.Seconds()/100)
 }
 
-func (picker *Picker) choose(now time.Time, candidates []*state) *state {
+func (picker *Picker) choose(now time.Time, candidates []*targetState) *targetState {
 	if len(candidates) == 1 {
 		return candidates[0]
 	}
@@ -237,7 +295,7 @@
 }
 
 // learn jumps up to a higher latency at once and comes down slowly.
-func (state *state) learn(now time.Time, latency time.Duration) {
+func (state *targetState) learn(now time.Time, latency time.Duration) {
 	sample := latency.Seconds()
 	current := state.decayed(now)
 	if sample > current {
@@ -250,8 +308,10 @@
 
 // eject takes a target out for a while, unless too large a share of its
 // version is out already.
-func (picker *Picker) eject(now time.Time, state *state) {
-	peers := picker.groups[group{service: state.target.Service, version: state.target.Version}]
+func (picker *Picker) eject(now time.Time, state *targetState) {
+	peers := slices.DeleteFunc(slices.Clone(picker.groups[state.target.Service]), func(peer *targetState) bool {
+		return peer.target.Version != state.target.Version
+	})
 	out := 0
 	for _, peer := range peers {
 		if now.Before(peer.ejected) {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -26,6 +26,20 @@
 	HeaderService = "Vp-Service"
 	// HeaderLoad carries, between nodes, calls in flight and waiting.
 	HeaderLoad = "Vp-Load"
+	// HeaderCaller names, between nodes, the service beside which a call began.
+	HeaderCaller = "Vp-Caller"
+	// HeaderPriority is, between nodes, the rank of a call; 0 comes first.
+	HeaderPriority = "Vp-Priority"
+	// HeaderObjective is, between nodes, the time in which an answer still has
+	// its full worth, in milliseconds.
+	HeaderObjective = "Vp-Objective-Ms"
+	// HeaderQueue is "no", between nodes, when the call is not to wait.
+	HeaderQueue = "Vp-Queue"
+	// HeaderOnce is set, between nodes, on calls that may run only once.
+	HeaderOnce = "Vp-Once"
+	// HeaderRetry is, between nodes, the time until a refused call may find
+	// room, in milliseconds.
+	HeaderRetry = "Vp-Retry-Ms"
 	// HeaderTarget names the target that answered.
 	HeaderTarget = "Vp-Target"
 )
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -34,16 +34,31 @@
 // ErrCut reports an answer whose end cannot be told from a lost connection.
 var ErrCut = errors.New("the answer has neither a length nor chunks")
 
+// ErrStranger reports an answer that belongs to another request.
+var ErrStranger = errors.New("the answer belongs to another request")
+
 // Settings bound a pool.
 type Settings struct {
 	// MaxConns is the number of connections to one address; a call beyond it
 	// waits until its deadline.
 	MaxConns int
 	// MaxIdle is how long a connection may lie unused; it is below the time
-	// after which the other side closes it.
+	// after which the other side closes it. A shorter time that the other side
+	// states in a Keep-Alive header goes before it.
 	MaxIdle time.Duration
 	// MaxBody bounds an answer's body, in bytes.
 	MaxBody int
+	// Dial bounds the making of a connection; zero leaves it to the call's
+	// deadline.
+	Dial time.Duration
+	// Silence is how long sent bytes may stay unacknowledged by the other
+	// side's network stack before the connection counts as lost; zero leaves it
+	// to the system.
+	Silence time.Duration
+	// Identity accepts an answer that ends with its connection.
+	Identity bool
+	// Belongs tells whether an answer is the request's own; nil accepts all.
+	Belongs func(request *fasthttp.Request, response *fasthttp.Response) bool
 }
 
 // DefaultSettings suit an upstream with about 110 connections.
@@ -51,11 +66,14 @@
 	return Settings{MaxConns: 100, MaxIdle: 20 * time.Second, MaxBody: 64 << 20}
 }
 
+// conn is one connection of a pool.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
 	idle   time.Time
+	// maxIdle is the pool's limit or a shorter one that the other side stated.
+	maxIdle time.Duration
 }
 
 // pool holds the connections to one address.
@@ -126,25 +144,30 @@
 		count := len(pool.idle)
 		if count == 0 {
 			pool.lock.Unlock()
-			return dial(ctx, address)
+			return pools.dial(ctx, address)
 		}
 		top := pool.idle[count-1]
 		pool.idle = pool.idle[:count-1]
 		pool.lock.Unlock()
-		if pools.now().Sub(top.idle) < pools.settings.MaxIdle && quiet(top.Conn) {
+		if pools.now().Sub(top.idle) < top.maxIdle && quiet(top.Conn) {
 			return top, nil
 		}
 		_ = top.Close()
 	}
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
-	dialler := net.Dialer{}
+func (pools *Pools) dial(ctx context.Context, address string) (*conn, error) {
+	dialler := net.Dialer{Timeout: pools.settings.Dial, KeepAliveConfig: pools.settings.keepAlive()}
 	raw, err := dialler.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw)}, nil
+	if pools.settings.Silence > 0 {
+		if err := SetSilence(raw, pools.settings.Silence); err != nil {
+			return nil, errors.Join(err, raw.Close())
+		}
+	}
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw), maxIdle: pools.settings.MaxIdle}, nil
 }
 
 // quiet reports whether an idle connection is open and has nothing to read;
@@ -166,61 +189,3 @@
 	})
 	return err == nil && open
 }
-
-// exchange writes the request and reads the whole answer.
-func (pools *Pools) exchange(ctx context.Context, conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
-	deadline, _ := ctx.Deadline()
-	if err := conn.SetDeadline(deadline); err != nil {
-		return &ExchangeError{Err: err}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err := request.Write(conn.writer)
-	if err == nil {
-		err = conn.writer.Flush()
-	}
-	if err == nil {
-		err = readWhole(conn.reader, request, response, pools.settings.MaxBody)
-	}
-	if !stop() && err == nil {
-		// The context ended after the answer was whole; the connection is gone.
-		response.SetConnectionClose()
-	}
-	if err != nil {
-		return &ExchangeError{Sent: true, Err: err}
-	}
-	if conn.reader.Buffered() > 0 {
-		// More than the answer came: the next answer would not be its own.
-		response.SetConnectionClose()
-	}
-	return nil
-}
-
-// readWhole reads an answer whose end is marked by a length or by chunks.
-func readWhole(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
-	response.SkipBody = request.Header.IsHead()
-	for {
-		if err := response.Header.Read(reader); err != nil {
-			return err
-		}
-		if code := response.StatusCode(); code >= 200 || code == fasthttp.StatusSwitchingProtocols {
-			break
-		}
-	}
-	const identity = -2
-	if response.Header.ContentLength() == identity && !response.SkipBody && hasBody(response.StatusCode()) {
-		return ErrCut
-	}
-	if response.SkipBody {
-		return nil
-	}
-	const chunked = -1
-	chunks := response.Header.ContentLength() == chunked
-	if err := response.ReadBody(reader, maxBody); err != nil || !chunks {
-		return err
-	}
-	return response.Header.ReadTrailer(reader)
-}
-
-func hasBody(status int) bool {
-	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
-}
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
-// Bootstrap returns the durable state of the first replica of a new group.
-func Bootstrap(first Member) Durable {
-	first.Voter = true
-	entry := Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: []Member{first}}
+// Bootstrap returns the durable state of the first voters of a new group. All
+// of them must start with the same members in the same order.
+func Bootstrap(first ...Member) Durable {
+	members := slices.Clone(first)
+	for i := range members {
+		members[i].Voter = true
+	}
+	entry := Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: members}
 	return Durable{HardState: HardState{Term: 1}, Entries: []Entry{entry}}
 }
 
@@ -62,9 +66,9 @@
 }
 
 // Repair takes the next step towards voters only: a caught-up learner first
-// displaces the voter of the same name, whose disk it replaces, and is then
-// promoted. It does nothing while another change is under way. It returns
-// whether a step was taken.
+// displaces the voter whose disk it replaces, or one that was silent for long
+// when there are enough voters, and is then promoted. It does nothing while
+// another change is under way. It returns whether a step was taken.
 func (core *Core) Repair(now time.Time, maxVoters int) bool {
 	if core.role != RoleLeader || core.log.membersIndex > core.commit {
 		return false
@@ -73,26 +77,51 @@
 		if learner.Voter || !core.CaughtUp(now, learner.ID) {
 			continue
 		}
-		if old, ok := core.namesake(learner); ok {
+		if old, ok := core.replacedBy(learner); ok {
 			return core.Remove(now, old.ID) == nil
 		}
 		if core.voters() < maxVoters {
 			return core.promote(now, learner.ID) == nil
 		}
+		if silent, ok := core.silentVoter(now); ok {
+			return core.Remove(now, silent.ID) == nil
+		}
 	}
 	return false
 }
 
-// namesake returns another member with the learner's name.
-func (core *Core) namesake(learner Member) (Member, bool) {
+// replacedBy returns another member of the learner's name or address, whose
+// disk is gone.
+func (core *Core) replacedBy(learner Member) (Member, bool) {
 	for _, member := range core.log.members {
-		if member.Name == learner.Name && member.ID != learner.ID {
+		same := member.Name == learner.Name || member.Address == learner.Address
+		if same && member.ID != learner.ID {
 			return member, true
 		}
 	}
 	return Member{}, false
 }
 
+// silentVoter returns the voter that was not heard from for the longest time,
+// if that is longer than a restart takes.
+func (core *Core) silentVoter(now time.Time) (Member, bool) {
+	var silent Member
+	longest := core.timing.Absent
+	for _, member := range core.log.members {
+		peer := core.progress[member.ID]
+		if !member.Voter || peer == nil {
+			continue
+		}
+		if absent := now.Sub(peer.heard); absent > longest {
+			silent, longest = member, absent
+		}
+	}
+	return silent, silent.ID != ""
+}
+
+// Alive reports whether this replica leads a quorum or hears from a leader.
+func (core *Core) Alive(now time.Time) bool { return core.leaderAlive(now) }
+
 func (core *Core) voters() int {
 	count := 0
 	for _, member := range core.log.members {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -176,9 +176,12 @@
 	// Election is the shortest silence after which a follower seeks votes;
 	// the actual one is random between Election and twice that.
 	Election time.Duration
+	// Absent is the silence after which a voter may be replaced by a learner
+	// that has caught up.
+	Absent time.Duration
 }
 
 // DefaultTiming suits replicas up to 50 ms apart.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 100 * time.Millisecond, Election: time.Second}
+	return Timing{Heartbeat: 100 * time.Millisecond, Election: 600 * time.Millisecond, Absent: 3 * time.Second}
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -66,6 +66,12 @@
 	return &Budget{settings: settings, random: random, tokens: settings.Burst * permille}
 }
 
+// Resize changes the settings; what is left is cut to the new burst.
+func (budget *Budget) Resize(settings Settings) {
+	budget.settings = settings
+	budget.tokens = min(budget.tokens, settings.Burst*permille)
+}
+
 // Denied returns how many retries the budget has refused.
 func (budget *Budget) Denied() uint64 { return budget.denied }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -57,6 +57,9 @@
 		return answered.Result, nil
 	}
 	result := store.execute(index, command)
+	if command.Lasting && result.Code != wire.CodeOK {
+		return result, nil
+	}
 	store.record(wire.Answered{RequestID: command.RequestID, Hash: command.Content, Result: result})
 	return result, nil
 }
@@ -84,14 +87,20 @@
 	return wire.Result{Code: wire.CodeOK, Version: index}
 }
 
-// dropEndedRollouts removes the history of rollouts along with their route.
+// dropEndedRollouts removes the history of rollouts along with their route, and
+// any rollout along with its service.
 func (store *Store) dropEndedRollouts(change *rsrc.Change) {
 	for _, key := range change.Remove {
-		if key.Kind() != rsrc.KindRoute {
-			continue
+		var rollout rsrc.Rollout
+		drop := false
+		switch key.Kind() {
+		case rsrc.KindRoute:
+			rollout, drop = store.config.Rollout(key.Name())
+			drop = drop && rollout.Last().State.Ended()
+		case rsrc.KindService:
+			rollout, drop = store.config.ServiceRollout(key.Name())
 		}
-		rollout, ok := store.config.Rollout(key.Name())
-		if ok && rollout.Last().State.Ended() && !slices.Contains(change.Remove, rollout.Key()) {
+		if drop && !slices.Contains(change.Remove, rollout.Key()) {
 			change.Remove = append(change.Remove, rollout.Key())
 		}
 	}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -27,13 +27,18 @@
 // tick is how often time passes for the core.
 const tick = 50 * time.Millisecond
 
-// Idle is the longest silence on a connection between nodes.
-const Idle = 8 * time.Second
+// Idle is the longest silence on a connection between nodes. A node whose
+// parent fell silent has to find another one and catch up within the three
+// seconds in which its fleet may still hold it to the newest configuration.
+const Idle = 1500 * time.Millisecond
 
 // Host is the process around the tree.
 type Host interface {
 	// Applied tells of a new configuration in force. It must not block.
 	Applied(config *rsrc.Config)
+	// Recall tells what others know of this process's earlier life. It must not
+	// block.
+	Recall(former member.Record)
 	// Confirm asks for a quorum-confirmed version; Confirmed is to be called
 	// with the answer.
 	Confirm(id distr.LinkID)
@@ -139,6 +144,8 @@
 	case action.Refused != nil:
 		tree.stats.Count("vp_config_refused_total", 1)
 		tree.log.Error(action.Refused, "configuration refused")
+	case action.Former != nil:
+		tree.host.Recall(*action.Former)
 	case action.Confirm:
 		tree.host.Confirm(action.ID)
 	}
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -19,7 +19,10 @@
 	RequestID string `json:"requestId"`
 	// Content is a hash of what the operator sent; a request id may only come
 	// back with the same content.
-	Content uint64     `json:"content,omitempty"`
+	Content uint64 `json:"content,omitempty"`
+	// Lasting has only an accepted command remembered, so that a refused one
+	// may be sent again when the state has changed.
+	Lasting bool       `json:"lasting,omitempty"`
 	At      time.Time  `json:"at"`
 	Expect  []Expect   `json:"expect,omitempty"`
 	Put     []Resource `json:"put,omitempty"`
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -41,6 +41,7 @@
 	Floor      uint64        `json:"floor,omitempty"`
 	Confirmed  bool          `json:"confirmed,omitempty"`
 	Path       []string      `json:"path,omitempty"`
+	Former     *Record       `json:"former,omitempty"`
 }
 
 // TreeAddress names another node to ask.
@@ -94,6 +95,12 @@
 	Service     string `json:"u,omitempty"`
 	Version     string `json:"v,omitempty"`
 	Slots       int    `json:"c,omitempty"`
+	ID          string `json:"d,omitempty"`
+	Born        int64  `json:"b,omitempty"`
+	Heard       uint64 `json:"h,omitempty"`
+	Draining    bool   `json:"w,omitempty"`
+	Gone        bool   `json:"x,omitempty"`
+	Root        bool   `json:"r,omitempty"`
 }
 
 // FromRecord converts a membership record.
@@ -109,6 +116,12 @@
 		Service:     record.Upstream.Service,
 		Version:     record.Upstream.Version,
 		Slots:       record.Upstream.Slots,
+		ID:          record.Upstream.ID,
+		Born:        record.Upstream.Born,
+		Heard:       record.Upstream.Sequence,
+		Draining:    record.Upstream.Draining,
+		Gone:        record.Upstream.Gone,
+		Root:        record.Root,
 	}
 }
 
@@ -122,7 +135,17 @@
 		Incarnation: record.Incarnation,
 		Sequence:    record.Sequence,
 		State:       member.State(record.State),
-		Upstream:    member.Upstream{Service: record.Service, Version: record.Version, Slots: record.Slots},
+		Upstream: member.Upstream{
+			Service:  record.Service,
+			Version:  record.Version,
+			Slots:    record.Slots,
+			ID:       record.ID,
+			Born:     record.Born,
+			Sequence: record.Heard,
+			Draining: record.Draining,
+			Gone:     record.Gone,
+		},
+		Root: record.Root,
 	}
 }
 
@@ -164,6 +187,10 @@
 		Confirmed:  welcome.Confirmed,
 		Path:       welcome.Path,
 	}
+	if welcome.Former != nil {
+		former := FromRecord(*welcome.Former)
+		written.Former = &former
+	}
 	for _, address := range welcome.Redirect {
 		written.Redirect = append(written.Redirect, TreeAddress(address))
 	}
@@ -235,6 +262,10 @@
 		Confirmed:  written.Confirmed,
 		Path:       written.Path,
 	}
+	if written.Former != nil {
+		former := written.Former.Domain()
+		welcome.Former = &former
+	}
 	for _, address := range written.Redirect {
 		welcome.Redirect = append(welcome.Redirect, distr.Address(address))
 	}
--- a/internal/wire/resource.go
+++ b/internal/wire/resource.go
@@ -23,7 +23,11 @@
 
 // ServiceSpec is the spec of kind "service".
 type ServiceSpec struct {
-	Policy string `json:"policy,omitempty"`
+	Policy         string `json:"policy,omitempty"`
+	HealthPath     string `json:"healthPath,omitempty"`
+	MaxConnections int    `json:"maxConnections,omitempty"`
+	Protocol       string `json:"protocol,omitempty"`
+	TLS            bool   `json:"tls,omitempty"`
 }
 
 // VersionSpec is the spec of kind "version"; the name is "service/version".
@@ -31,17 +35,43 @@
 	MinTargets int `json:"minTargets,omitempty"`
 }
 
-// RouteSpec is the spec of kind "route". Timeout is a Go duration ("10s").
+// RouteSpec is the spec of kind "route". Timeout and Objective are Go
+// durations ("10s").
 type RouteSpec struct {
+	Service     string `json:"service,omitempty"`
+	Prefix      string `json:"prefix"`
+	Version     string `json:"version,omitempty"`
+	Timeout     string `json:"timeout,omitempty"`
+	Host        string `json:"host,omitempty"`
+	Kind        string `json:"kind,omitempty"`
+	Split       []Part `json:"split,omitempty"`
+	MaxAttempts int    `json:"maxAttempts,omitempty"`
+	Objective   string `json:"objective,omitempty"`
+	Priority    int    `json:"priority,omitempty"`
+}
+
+// Part is one service's part of a split route.
+type Part struct {
 	Service string `json:"service"`
-	Prefix  string `json:"prefix"`
-	Version string `json:"version"`
-	Timeout string `json:"timeout,omitempty"`
+	Weight  int    `json:"weight"`
+}
+
+// EditionSpec is the spec of kind "edition". Sizes are in bytes, times are Go
+// durations.
+type EditionSpec struct {
+	Number        uint64 `json:"number"`
+	MaxHeader     int    `json:"maxHeaderBytes,omitempty"`
+	MaxBody       int    `json:"maxBodyBytes,omitempty"`
+	HeaderTimeout string `json:"headerTimeout,omitempty"`
+	IdleTimeout   string `json:"idleTimeout,omitempty"`
 }
 
-// RolloutSpec is the spec of kind "rollout"; the name is the route's.
+// RolloutSpec is the spec of kind "rollout"; the name is the route's, or
+// "services/" and the service's. Within is a Go duration.
 type RolloutSpec struct {
-	From     string    `json:"from"`
+	Service  string    `json:"service,omitempty"`
+	Within   string    `json:"within,omitempty"`
+	From     string    `json:"from,omitempty"`
 	To       string    `json:"to"`
 	By       time.Time `json:"by"`
 	Epoch    uint64    `json:"epoch,omitempty"`
@@ -129,15 +159,17 @@
 func specOf(resource rsrc.Resource) any {
 	switch value := resource.(type) {
 	case rsrc.Service:
-		return ServiceSpec{Policy: string(value.Policy())}
+		return fromService(value)
 	case rsrc.Version:
 		return VersionSpec{MinTargets: value.MinTargets()}
 	case rsrc.Route:
-		return RouteSpec{Service: value.Service(), Prefix: value.Prefix(), Version: value.Version(), Timeout: value.Timeout().String()}
+		return fromRoute(value)
 	case rsrc.Rollout:
 		return fromRollout(value)
 	case rsrc.Witnesses:
 		return fromWitnesses(value)
+	case rsrc.Edition:
+		return fromEdition(value)
 	default:
 		panic(fmt.Sprintf("wire: resource of type %T", resource))
 	}
@@ -145,6 +177,8 @@
 
 func fromRollout(rollout rsrc.Rollout) RolloutSpec {
 	spec := RolloutSpec{
+		Service:  rollout.Service(),
+		Within:   formatDuration(rollout.Within()),
 		From:     rollout.From(),
 		To:       rollout.To(),
 		By:       rollout.By(),
@@ -182,17 +216,26 @@
 	switch rsrc.Kind(resource.Kind) {
 	case rsrc.KindService:
 		spec, err := strictSpec[ServiceSpec](resource.Spec)
-		return rsrc.NewService(resource.Name, rsrc.Policy(spec.Policy)), err
+		return spec.domain(resource.Name), err
 	case rsrc.KindVersion:
 		return resource.decodeVersion()
 	case rsrc.KindRoute:
 		return resource.decodeRoute()
 	case rsrc.KindRollout:
 		spec, err := strictSpec[RolloutSpec](resource.Spec)
-		return spec.domain(resource.Name), err
+		if err != nil {
+			return nil, err
+		}
+		return spec.domain(resource.Name)
 	case rsrc.KindWitnesses:
 		spec, err := strictSpec[WitnessesSpec](resource.Spec)
 		return spec.domain(), err
+	case rsrc.KindEdition:
+		spec, err := strictSpec[EditionSpec](resource.Spec)
+		if err != nil {
+			return nil, err
+		}
+		return spec.domain()
 	default:
 		return nil, fmt.Errorf("kind %q is unknown: use service, version or route", resource.Kind)
 	}
@@ -223,22 +266,125 @@
 	if err != nil {
 		return rsrc.Route{}, err
 	}
-	timeout := time.Duration(0)
-	if spec.Timeout != "" {
-		timeout, err = time.ParseDuration(spec.Timeout)
-		if err != nil {
-			return rsrc.Route{}, &FieldError{Path: "spec.timeout", Err: fmt.Errorf("%q is not a duration such as 10s or 250ms", spec.Timeout)}
-		}
+	timeout, err := parseDuration("spec.timeout", spec.Timeout)
+	if err != nil {
+		return rsrc.Route{}, err
+	}
+	objective, err := parseDuration("spec.objective", spec.Objective)
+	if err != nil {
+		return rsrc.Route{}, err
 	}
-	return rsrc.NewRoute(resource.Name, spec.Service, spec.Prefix, spec.Version, timeout), nil
+	options := rsrc.RouteOptions{
+		Host:        spec.Host,
+		Kind:        rsrc.CallKind(spec.Kind),
+		MaxAttempts: spec.MaxAttempts,
+		Objective:   objective,
+		Priority:    spec.Priority,
+	}
+	for _, part := range spec.Split {
+		options.Split = append(options.Split, rsrc.Part(part))
+	}
+	return rsrc.NewRoute(resource.Name, spec.Service, spec.Prefix, spec.Version, timeout).With(options), nil
 }
 
-func (spec RolloutSpec) domain(route string) rsrc.Rollout {
+// parseDuration reads a Go duration; an empty text is zero.
+func parseDuration(path, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, &FieldError{Path: path, Err: fmt.Errorf("%q is not a duration such as 10s or 250ms", text)}
+	}
+	return duration, nil
+}
+
+// formatDuration writes zero as an empty text.
+func formatDuration(duration time.Duration) string {
+	if duration == 0 {
+		return ""
+	}
+	return duration.String()
+}
+
+func fromRoute(route rsrc.Route) RouteSpec {
+	options := route.Options()
+	spec := RouteSpec{
+		Service:     route.Service(),
+		Prefix:      route.Prefix(),
+		Version:     route.Version(),
+		Timeout:     route.Timeout().String(),
+		Host:        options.Host,
+		Kind:        string(options.Kind),
+		MaxAttempts: options.MaxAttempts,
+		Objective:   formatDuration(options.Objective),
+		Priority:    options.Priority,
+	}
+	for _, part := range options.Split {
+		spec.Split = append(spec.Split, Part(part))
+	}
+	return spec
+}
+
+func fromService(service rsrc.Service) ServiceSpec {
+	backend := service.Backend()
+	return ServiceSpec{
+		Policy:         string(service.Policy()),
+		HealthPath:     backend.HealthPath,
+		MaxConnections: backend.MaxConnections,
+		Protocol:       backend.Protocol,
+		TLS:            backend.TLS,
+	}
+}
+
+func (spec ServiceSpec) domain(name string) rsrc.Service {
+	return rsrc.NewService(name, rsrc.Policy(spec.Policy)).WithBackend(rsrc.Backend{
+		HealthPath:     spec.HealthPath,
+		MaxConnections: spec.MaxConnections,
+		Protocol:       spec.Protocol,
+		TLS:            spec.TLS,
+	})
+}
+
+func fromEdition(edition rsrc.Edition) EditionSpec {
+	limits := edition.Limits()
+	return EditionSpec{
+		Number:        edition.Number(),
+		MaxHeader:     limits.MaxHeader,
+		MaxBody:       limits.MaxBody,
+		HeaderTimeout: formatDuration(limits.HeaderTimeout),
+		IdleTimeout:   formatDuration(limits.IdleTimeout),
+	}
+}
+
+func (spec EditionSpec) domain() (rsrc.Edition, error) {
+	header, err := parseDuration("spec.headerTimeout", spec.HeaderTimeout)
+	if err != nil {
+		return rsrc.Edition{}, err
+	}
+	idle, err := parseDuration("spec.idleTimeout", spec.IdleTimeout)
+	return rsrc.NewEdition(spec.Number, rsrc.Limits{
+		MaxHeader:     spec.MaxHeader,
+		MaxBody:       spec.MaxBody,
+		HeaderTimeout: header,
+		IdleTimeout:   idle,
+	}), err
+}
+
+func (spec RolloutSpec) domain(route string) (rsrc.Rollout, error) {
 	steps := make([]rsrc.Step, 0, len(spec.Steps))
 	for _, step := range spec.Steps {
 		steps = append(steps, rsrc.Step{State: rsrc.State(step.State), Share: step.Share, Cause: step.Cause, At: step.At})
 	}
-	return rsrc.RestoreRollout(route, spec.From, spec.To, spec.By, spec.Epoch, spec.Finished, steps)
+	within, err := parseDuration("spec.within", spec.Within)
+	if err != nil {
+		return rsrc.Rollout{}, err
+	}
+	if spec.Service != "" {
+		route = ""
+	}
+	rollout := rsrc.RestoreRollout(route, spec.From, spec.To, spec.By, spec.Epoch, spec.Finished, steps)
+	return rollout.OfService(spec.Service, within), nil
 }
 
 func (spec WitnessesSpec) domain() rsrc.Witnesses {
--- a/pkg/rsrc/config.go
+++ b/pkg/rsrc/config.go
@@ -19,6 +19,9 @@
 	Revision uint64
 }
 
+// place is where a route takes calls.
+type place struct{ host, prefix string }
+
 // Config is one closed configuration: every resource that any of its routes
 // refers to is part of it. It is immutable and safe for concurrent use.
 type Config struct {
@@ -32,6 +35,11 @@
 	// routes is sorted by falling prefix length, so that the first match is
 	// the most specific.
 	routes []Route
+	// byHost has the routes of each host, in the same order; the empty host
+	// stands for any.
+	byHost map[string][]Route
+	// places maps host and prefix to the first route there.
+	places map[place]string
 	// digest is the sum of the hashes of all keys and revisions.
 	digest uint64
 }
@@ -101,14 +109,46 @@
 	return lookup[Version](config, VersionKey(service, name))
 }
 
-// Match returns the most specific route for a path.
-func (config *Config) Match(path string) (Route, bool) {
-	for _, route := range config.routes {
+// Match returns the most specific route for a host and path. Routes of the
+// host itself come before those of any host.
+func (config *Config) Match(host, path string) (Route, bool) {
+	for _, route := range config.byHost[host] {
 		if route.Matches(path) {
 			return route, true
 		}
 	}
-	return Route{}, false
+	if host == "" {
+		return Route{}, false
+	}
+	return config.Match("", path)
+}
+
+// duplicate returns the name of another route with the same host and prefix.
+func (config *Config) duplicate(route Route) (string, bool) {
+	other := config.places[place{route.Host(), route.prefix}]
+	return other, other != "" && other != route.name
+}
+
+// ServiceRollout returns the latest rollout of a whole service.
+func (config *Config) ServiceRollout(service string) (Rollout, bool) {
+	return lookup[Rollout](config, ServiceRolloutKey(service))
+}
+
+// OpenRollouts returns the rollouts that have not ended, sorted by key.
+func (config *Config) OpenRollouts() []Rollout {
+	var open []Rollout
+	for _, resource := range config.resources {
+		if rollout, ok := resource.(Rollout); ok && !rollout.Last().State.Ended() {
+			open = append(open, rollout)
+		}
+	}
+	slices.SortFunc(open, func(a, b Rollout) int { return strings.Compare(a.Subject(), b.Subject()) })
+	return open
+}
+
+// Edition returns the mark of the last whole replacement.
+func (config *Config) Edition() (Edition, bool) {
+	return lookup[Edition](config, EditionKey())
 }
 
 // Change is a set of writes that is accepted or refused whole.
@@ -161,6 +201,16 @@
 		config.removed = config.removed[extra:]
 	}
 	config.index()
+	for _, resource := range config.resources {
+		if resource.check(config) != nil {
+			return config.firstFault()
+		}
+	}
+	return nil
+}
+
+// firstFault returns the same fault on every replica.
+func (config *Config) firstFault() error {
 	for _, resource := range config.All() {
 		if err := resource.check(config); err != nil {
 			return err
@@ -185,6 +235,15 @@
 		}
 		return strings.Compare(a.name, b.name)
 	})
+	config.byHost = map[string][]Route{}
+	config.places = make(map[place]string, len(config.routes))
+	for _, route := range config.routes {
+		config.byHost[route.Host()] = append(config.byHost[route.Host()], route)
+		at := place{route.Host(), route.prefix}
+		if config.places[at] == "" {
+			config.places[at] = route.name
+		}
+	}
 }
 
 // Delta is what changed between two versions.
--- a/pkg/rsrc/rollout.go
+++ b/pkg/rsrc/rollout.go
@@ -46,13 +46,20 @@
 	At    time.Time
 }
 
-// Rollout shifts a route from one version to another by a deadline.
+// Rollout shifts a route, or all calls to a service, from one version to
+// another by a deadline.
 type Rollout struct {
+	// route is empty for the rollout of a service, service for that of a route.
 	route    string
+	service  string
 	revision uint64
-	from     string
-	to       string
-	by       time.Time
+	// from is empty for the rollout of a service: all versions but to.
+	from string
+	to   string
+	by   time.Time
+	// within is the time that was allowed from the order on; zero for the
+	// rollout of a route.
+	within time.Duration
 	// epoch is the revision of the write that began the rollout; local
 	// guards are tied to it.
 	epoch uint64
@@ -68,6 +75,25 @@
 	return Rollout{route: route, from: from, to: to, by: by, steps: []Step{first}}
 }
 
+// NewServiceRollout returns a scheduled rollout of all calls to a service.
+func NewServiceRollout(service, to string, within time.Duration, now time.Time) Rollout {
+	rollout := NewRollout("", "", to, now.Add(within), now)
+	return rollout.OfService(service, within)
+}
+
+// OfService returns the rollout as one of a whole service.
+func (rollout Rollout) OfService(service string, within time.Duration) Rollout {
+	rollout.service, rollout.within = service, within
+	return rollout
+}
+
+// Due returns the rollout with another deadline. A leader goes by its own
+// steady clock from the moment it saw the order.
+func (rollout Rollout) Due(by time.Time) Rollout {
+	rollout.by = by
+	return rollout
+}
+
 // RestoreRollout rebuilds a rollout from its stored parts.
 func RestoreRollout(route, from, to string, by time.Time, epoch uint64, finished time.Time, steps []Step) Rollout {
 	return Rollout{route: route, from: from, to: to, by: by, epoch: epoch, finished: finished, steps: steps}
@@ -76,9 +102,31 @@
 // RolloutKey returns the key of a route's rollout.
 func RolloutKey(route string) Key { return NewKey(KindRollout, route) }
 
-// Route returns the name of the route that is shifted.
+// ServiceRolloutKey returns the key of a service's rollout. No route's name
+// holds a slash.
+func ServiceRolloutKey(service string) Key { return NewKey(KindRollout, "services/"+service) }
+
+// Route returns the name of the route that is shifted, empty for a service.
 func (rollout Rollout) Route() string { return rollout.route }
 
+// Service returns the name of the service that is shifted, empty for a route.
+func (rollout Rollout) Service() string { return rollout.service }
+
+// Within returns the time allowed from the order on, zero for a route.
+func (rollout Rollout) Within() time.Duration { return rollout.within }
+
+// Subject names what is shifted, unique among all rollouts.
+func (rollout Rollout) Subject() string { return rollout.Key().Name() }
+
+// Takes reports whether a version is on the new side of the rollout or, if not
+// fresh, on the old one.
+func (rollout Rollout) Takes(version string, fresh bool) bool {
+	if fresh {
+		return version == rollout.to
+	}
+	return version == rollout.from || rollout.from == "" && version != rollout.to
+}
+
 // From returns the old version.
 func (rollout Rollout) From() string { return rollout.from }
 
@@ -122,8 +170,13 @@
 	return rollout, nil
 }
 
-// Key returns the rollout's identity: its route's name.
-func (rollout Rollout) Key() Key { return RolloutKey(rollout.route) }
+// Key returns the rollout's identity: what it shifts.
+func (rollout Rollout) Key() Key {
+	if rollout.service != "" {
+		return ServiceRolloutKey(rollout.service)
+	}
+	return RolloutKey(rollout.route)
+}
 
 // Revision returns the log index of the rollout's last step.
 func (rollout Rollout) Revision() uint64 { return rollout.revision }
@@ -140,10 +193,6 @@
 
 func (rollout Rollout) check(config *Config) error {
 	key := rollout.Key()
-	route, ok := config.Route(rollout.route)
-	if !ok {
-		return fault(key, "route", "route %q does not exist", rollout.route)
-	}
 	if len(rollout.steps) == 0 {
 		return fault(key, "steps", "is empty")
 	}
@@ -151,6 +200,13 @@
 	if last.Share < 0 || last.Share > FullShare {
 		return fault(key, "share", "must be from 0 to %d, is %d", FullShare, last.Share)
 	}
+	if rollout.service != "" {
+		return rollout.checkService(config)
+	}
+	route, ok := config.Route(rollout.route)
+	if !ok {
+		return fault(key, "route", "route %q does not exist", rollout.route)
+	}
 	if last.State.Ended() {
 		return nil
 	}
@@ -164,3 +220,18 @@
 	}
 	return nil
 }
+
+// checkService does not ask for the version: targets announce theirs.
+func (rollout Rollout) checkService(config *Config) error {
+	key := rollout.Key()
+	if _, ok := config.Service(rollout.service); !ok {
+		return fault(key, "service", "service %q does not exist", rollout.service)
+	}
+	if rollout.to == "" {
+		return fault(key, "to", "is missing")
+	}
+	if rollout.within <= 0 {
+		return fault(key, "within", "must be positive, is %s", rollout.within)
+	}
+	return nil
+}
--- a/pkg/rsrc/route.go
+++ b/pkg/rsrc/route.go
@@ -12,17 +12,58 @@
 	MaxTimeout     = 10 * time.Minute
 )
 
+// CallKind tells whether a call on a route may run more than once.
+type CallKind string
+
+// The kinds of call.
+const (
+	// CallByMethod follows the idempotence of the HTTP method.
+	CallByMethod CallKind = ""
+	// CallIdempotent may run more than once, whatever its method.
+	CallIdempotent CallKind = "idempotent"
+	// CallOnce may run at most once, whatever its method.
+	CallOnce CallKind = "nonIdempotent"
+)
+
+// Part is one service's part of a split route.
+type Part struct {
+	Service string
+	// Weight is the part's share in proportion to the sum of all weights.
+	Weight int
+}
+
+// RouteOptions are the parts of a route that may be left out.
+type RouteOptions struct {
+	// Host narrows the route to calls for one host; empty means any.
+	Host string
+	Kind CallKind
+	// Split divides the calls over services; it replaces the route's service.
+	Split []Part
+	// MaxAttempts bounds the targets that one call is sent to; zero leaves it
+	// to the nodes.
+	MaxAttempts int
+	// Objective is the time within which an answer has its full worth; zero
+	// means the timeout.
+	Objective time.Duration
+	// Priority ranks the route's calls when there is not room for all; 0 comes
+	// first.
+	Priority int
+}
+
 // Route sends the calls under a path prefix to a version of a service.
 type Route struct {
 	name     string
 	revision uint64
 	service  string
-	// prefix starts with a slash and is unique among routes.
+	// prefix starts with a slash and is unique among the routes of a host.
 	prefix string
 	// version names the stable version; a rollout may send a share elsewhere.
+	// It is empty on a route that follows the rollouts of whole services.
 	version string
 	// timeout is within MinTimeout and MaxTimeout.
 	timeout time.Duration
+	// options.Split is never changed after the route was made.
+	options RouteOptions
 }
 
 // NewRoute returns a route; a zero timeout means DefaultTimeout.
@@ -33,6 +74,12 @@
 	return Route{name: name, service: service, prefix: prefix, version: version, timeout: timeout}
 }
 
+// With returns the route with other options.
+func (route Route) With(options RouteOptions) Route {
+	route.options = options
+	return route
+}
+
 // RouteKey returns the key of the named route.
 func RouteKey(name string) Key { return NewKey(KindRoute, name) }
 
@@ -48,6 +95,37 @@
 // Version returns the stable version.
 func (route Route) Version() string { return route.version }
 
+// Options returns the parts of the route that may be left out.
+func (route Route) Options() RouteOptions { return route.options }
+
+// Host returns the host whose calls the route takes, empty for any.
+func (route Route) Host() string { return route.options.Host }
+
+// Kind returns whether the route's calls may run more than once.
+func (route Route) Kind() CallKind { return route.options.Kind }
+
+// MaxAttempts bounds the targets of one call; zero leaves it to the nodes.
+func (route Route) MaxAttempts() int { return route.options.MaxAttempts }
+
+// Priority returns the rank of the route's calls; 0 comes first.
+func (route Route) Priority() int { return route.options.Priority }
+
+// Objective returns the time within which an answer has its full worth.
+func (route Route) Objective() time.Duration {
+	if route.options.Objective > 0 {
+		return min(route.options.Objective, route.timeout)
+	}
+	return route.timeout
+}
+
+// Parts returns the services that the route leads to, with their weights.
+func (route Route) Parts() []Part {
+	if len(route.options.Split) > 0 {
+		return route.options.Split
+	}
+	return []Part{{Service: route.service, Weight: 1}}
+}
+
 // Timeout returns the longest time a call on the route may take.
 func (route Route) Timeout() time.Duration { return route.timeout }
 
@@ -86,11 +164,8 @@
 	if err := checkName(key, "name", route.name); err != nil {
 		return err
 	}
-	if _, ok := config.Service(route.service); !ok {
-		return fault(key, "service", "service %q does not exist", route.service)
-	}
-	if _, ok := config.UpstreamVersion(route.service, route.version); !ok {
-		return fault(key, "version", "version %q of service %q does not exist", route.version, route.service)
+	if err := route.checkTargets(config); err != nil {
+		return err
 	}
 	if !strings.HasPrefix(route.prefix, "/") {
 		return fault(key, "prefix", "must start with /, is %q", route.prefix)
@@ -98,10 +173,50 @@
 	if route.timeout < MinTimeout || route.timeout > MaxTimeout {
 		return fault(key, "timeout", "must be from %s to %s, is %s", MinTimeout, MaxTimeout, route.timeout)
 	}
-	for _, other := range config.Routes() {
-		if other.name != route.name && other.prefix == route.prefix {
-			return fault(key, "prefix", "route %q has the same prefix %q", other.name, route.prefix)
+	if other, ok := config.duplicate(route); ok {
+		return fault(key, "prefix", "route %q has the same host and prefix %q", other, route.prefix)
+	}
+	return route.options.check(key)
+}
+
+// checkTargets wants every service and version that the route leads to.
+func (route Route) checkTargets(config *Config) error {
+	key, total := route.Key(), 0
+	for _, part := range route.Parts() {
+		if _, ok := config.Service(part.Service); !ok {
+			return fault(key, "service", "service %q does not exist", part.Service)
+		}
+		if part.Weight < 0 {
+			return fault(key, "split", "the weight of %q must not be negative, is %d", part.Service, part.Weight)
 		}
+		total += part.Weight
+	}
+	if total == 0 {
+		return fault(key, "split", "the weights add up to 0")
+	}
+	if route.version == "" {
+		return nil
+	}
+	if len(route.options.Split) > 0 {
+		return fault(key, "version", "a split route names no version")
+	}
+	if _, ok := config.UpstreamVersion(route.service, route.version); !ok {
+		return fault(key, "version", "version %q of service %q does not exist", route.version, route.service)
 	}
 	return nil
 }
+
+func (options RouteOptions) check(key Key) error {
+	switch {
+	case options.Kind != CallByMethod && options.Kind != CallIdempotent && options.Kind != CallOnce:
+		return fault(key, "kind", "%q is unknown: use idempotent or nonIdempotent", options.Kind)
+	case options.MaxAttempts < 0:
+		return fault(key, "maxAttempts", "must not be negative, is %d", options.MaxAttempts)
+	case options.Priority < 0:
+		return fault(key, "priority", "must not be negative, is %d", options.Priority)
+	case options.Objective < 0:
+		return fault(key, "objective", "must not be negative, is %s", options.Objective)
+	default:
+		return nil
+	}
+}
--- a/pkg/rsrc/rsrc.go
+++ b/pkg/rsrc/rsrc.go
@@ -20,6 +20,7 @@
 	KindRoute     Kind = "route"
 	KindRollout   Kind = "rollout"
 	KindWitnesses Kind = "witnesses"
+	KindEdition   Kind = "edition"
 )
 
 // FullShare is the share, in permille, that stands for all calls of a route.
--- a/pkg/rsrc/rsrc_test.go
+++ b/pkg/rsrc/rsrc_test.go
@@ -59,7 +59,7 @@
 	config, err := base(t).Apply(6, Change{Put: []Resource{NewRoute("deep", "s", "/a/b", "v2", 0)}})
 	require.NoError(t, err)
 	for path, want := range map[string]string{"/a": "r", "/a/x": "r", "/a/b": "deep", "/a/b/c": "deep", "/a/bc": "r", "/ab": "", "/": ""} {
-		route, _ := config.Match(path)
+		route, _ := config.Match("", path)
 		require.Equal(t, want, route.Name(), path)
 	}
 }
--- a/pkg/rsrc/service.go
+++ b/pkg/rsrc/service.go
@@ -21,9 +21,30 @@
 	name     string
 	revision uint64
 	// policy is one of the Policy constants.
-	policy Policy
+	policy  Policy
+	backend Backend
 }
 
+// Backend is how a service's targets are reached. The nodes go by what the
+// targets announce; these fields are kept for operators.
+type Backend struct {
+	HealthPath string
+	// MaxConnections is how many connections one target takes from all callers
+	// together; zero means unknown.
+	MaxConnections int
+	Protocol       string
+	TLS            bool
+}
+
+// WithBackend returns the service with another description of its targets.
+func (service Service) WithBackend(backend Backend) Service {
+	service.backend = backend
+	return service
+}
+
+// Backend returns how the service's targets are reached.
+func (service Service) Backend() Backend { return service.backend }
+
 // NewService returns a service; an empty policy means PolicyBalanced.
 func NewService(name string, policy Policy) Service {
 	if policy == "" {
