Settings are read again when their file changes

Ruled out: a restart by the platform, which cuts calls. Change: both daemons watch their settings file, on SIGHUP and once a second; control VMs' addresses and the service follow it, a broken file changes nothing. Test: reload.txtar failed first (connection refused after the signal).

--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -198,9 +198,10 @@
 
 var signals = map[string]syscall.Signal{
 	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+	"HUP": syscall.SIGHUP,
 }
 
-// cmdSignal signals processes: signal KILL|STOP|CONT|TERM NAME... After KILL
+// cmdSignal signals processes: signal KILL|STOP|CONT|TERM|HUP NAME... After KILL
 // it waits for the end.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args[1:] {
--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -87,7 +87,10 @@
 			if err != nil {
 				return err
 			}
-			return named(control.Run(ctx), c.String("settings"), "")
+			file := &watched[config.Control]{
+				file: c.String("settings"), read: config.ReadControl, apply: control.Reload, log: deps.Logs.Layer("daemon"),
+			}
+			return named(reloading(ctx, file, control.Run), file.file, "")
 		},
 	}
 }
@@ -116,7 +119,10 @@
 			if err != nil {
 				return err
 			}
-			return named(running.Run(ctx), c.String("settings"), "")
+			file := &watched[config.Node]{
+				file: c.String("settings"), read: config.ReadNode, apply: running.Reload, log: deps.Logs.Layer("daemon"),
+			}
+			return named(reloading(ctx, file, running.Run), file.file, "")
 		},
 	}
 }
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -63,10 +64,13 @@
 	log      logr.Logger
 	stats    *stats.Set
 	started  time.Time
-	pool     *ants.Pool
-	traffic  *link.Traffic
-	logs     *logs.Factory
-	deps     Deps
+	// peers are the other control VMs' link addresses of the settings, which
+	// may change; the other settings need a restart.
+	peers   atomic.Pointer[[]string]
+	pool    *ants.Pool
+	traffic *link.Traffic
+	logs    *logs.Factory
+	deps    Deps
 
 	ctx      context.Context
 	caller   *link.Caller
@@ -109,7 +113,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Control{
+	control := &Control{
 		settings: deps.Settings,
 		now:      deps.Now,
 		log:      deps.Logs.Layer("daemon"),
@@ -121,7 +125,15 @@
 		deps:     deps,
 		confirms: make(chan distr.LinkID, inboxLength),
 		configs:  make(chan *rsrc.Config, 1),
-	}, nil
+	}
+	control.peers.Store(&deps.Settings.Peers)
+	return control, nil
+}
+
+// Reload takes changed settings.
+func (control *Control) Reload(settings config.Control) {
+	control.peers.Store(&settings.Peers)
+	control.log.Info("settings reloaded", "peers", settings.Peers)
 }
 
 // Run serves until the context ends. A replica without a data folder makes
@@ -334,7 +346,7 @@
 // otherControls returns the link addresses of the control VMs that are known
 // from the settings, the log and the tree.
 func (control *Control) otherControls() []string {
-	addresses := slices.Clone(control.settings.Peers)
+	addresses := slices.Clone(*control.peers.Load())
 	for _, member := range control.replica.view.Load().members {
 		addresses = append(addresses, member.Address)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -193,7 +193,7 @@
 	header.Set(proxy.HeaderCustomer, call.customer)
 	header.Set(proxy.HeaderService, call.service)
 	header.Set(proxy.HeaderVersion, target.Version)
-	header.Set(proxy.HeaderCaller, node.settings.Service)
+	header.Set(proxy.HeaderCaller, node.live.Load().service)
 	header.Set(proxy.HeaderPriority, strconv.Itoa(call.route.Priority()))
 	if !patient {
 		header.Set(proxy.HeaderQueue, "no")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,20 @@
 	return settings
 }
 
+// live holds the settings that follow a changed file; the others need a
+// restart.
+type live struct {
+	control []string
+	service string
+}
+
+// Reload takes changed settings.
+func (node *Node) Reload(settings config.Node) {
+	node.live.Store(&live{control: settings.Control, service: settings.Service})
+	node.reloaded.Store(true)
+	node.log.Info("settings reloaded", "control", settings.Control, "service", settings.Service)
+}
+
 // Deps are what a node depends on.
 type Deps struct {
 	Settings config.Node
@@ -97,7 +111,9 @@
 // Node is the daemon of one node. Lock order: gate.lock or claims.lock, then
 // calls.lock, then the tree's own lock; no lock is held while waiting.
 type Node struct {
+	// settings are those of the start; live has what may change since.
 	settings    config.Node
+	live        atomic.Pointer[live]
 	now         func() time.Time
 	log         logr.Logger
 	logs        *logs.Factory
@@ -121,6 +137,8 @@
 	noticeTTL time.Duration
 	// stopping is true from the order to stop on.
 	stopping atomic.Bool
+	// reloaded is true until the control VMs of changed settings are used.
+	reloaded atomic.Bool
 	// changed is true when the own record has to be announced again.
 	changed atomic.Bool
 	gate    *gate
@@ -185,6 +203,7 @@
 	node.gates = proxy.New(gateSettings(), deps.Now)
 	node.targets = proxy.New(targetSettings(node.dialect), deps.Now)
 	node.picker.Near(deps.Settings.Name)
+	node.live.Store(&live{control: deps.Settings.Control, service: deps.Settings.Service})
 	node.gate = newGate(node)
 	node.claims = newClaims(node, started)
 	node.guard = newGuard(node)
@@ -387,6 +406,9 @@
 
 func (node *Node) updateTargets() {
 	records, version, changed := node.tree.RecordsSince(node.tableVersion)
+	if node.reloaded.Swap(false) && !changed {
+		records, changed = node.tree.Records(), true
+	}
 	if !changed {
 		return
 	}
@@ -455,7 +477,7 @@
 // followRoots keeps the addresses of the control VMs: those of the settings
 // and those that have announced themselves since.
 func (node *Node) followRoots(records []member.Record) {
-	roots := slices.Clone(node.settings.Control)
+	roots := slices.Clone(node.live.Load().control)
 	for _, record := range records {
 		if record.Root && record.State != member.StateSuspect && !slices.Contains(roots, record.Link) {
 			roots = append(roots, record.Link)
