Planned stops in two phases; queues only for what can be answered in time

Ruled out: too short a grace (calls take 1.2 s at most, 6 s are given). Change: callers are served for the time in which they see that the node is not ready, then nothing more is read and all that was read is answered. A call queues where it waits least and only if twice its mean time still fits. Only a deregistration is recalled as final.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,9 +34,14 @@
 	writer *bufio.Writer
 	// pending holds the requests in progress in the order of their arrival.
 	pending chan *pending
+
+	// lock guards the fields below.
+	lock sync.Mutex
 	// open counts the requests that are read and not answered, and one that is
 	// being read.
-	open atomic.Int64
+	open int
+	// closing is set with the last answer; nothing is read as a request after.
+	closing bool
 }
 
 // pending is a request in progress; done is closed when its answer is ready.
@@ -56,7 +61,37 @@
 	}
 }
 
-func (conn *conn) idle() bool { return conn.open.Load() == 0 }
+func (conn *conn) idle() bool {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	return conn.open == 0
+}
+
+// begin counts a request that is about to be read. It returns false once the
+// last answer was chosen: what comes after counts as not read.
+func (conn *conn) begin() bool {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	if !conn.closing {
+		conn.open++
+	}
+	return !conn.closing
+}
+
+// done counts a request out and decides whether its answer is the last one.
+func (conn *conn) done(last bool) (closing bool) {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	conn.open--
+	conn.closing = conn.closing || last || conn.open == 0 && conn.server.draining.Load()
+	return conn.closing
+}
+
+func (conn *conn) ending() bool {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	return conn.closing
+}
 
 // end makes reader and writer stop.
 func (conn *conn) end() { _ = conn.raw.Close() }
@@ -69,31 +104,52 @@
 		defer close(written)
 		conn.write(left)
 	}()
-	if conn.read(ctx) {
+	gone := conn.read(ctx)
+	if gone {
 		left(proxy.ErrCallerLeft)
 	}
 	close(conn.pending)
 	<-written
 	left(nil)
+	if !gone {
+		conn.finish()
+	}
 	conn.end()
 }
 
+// finish ends the sending side and takes what still arrives for a short while:
+// closing a connection with unread bytes would reset it, and with it the last
+// answer on its way.
+func (conn *conn) finish() {
+	if tcp, ok := conn.raw.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	if conn.raw.SetReadDeadline(time.Now().Add(linger)) == nil {
+		_, _ = io.Copy(io.Discard, conn.raw)
+	}
+}
+
 // read takes requests until the connection ends or breaks the protocol. It
 // reports whether the caller is gone.
 func (conn *conn) read(ctx context.Context) bool {
 	for {
+		if conn.server.draining.Load() && !conn.idle() {
+			// What is not read yet was not taken; the caller sends it again.
+			return false
+		}
 		limits := conn.server.deps.Limits()
 		if err := conn.await(limits); err != nil {
-			// An idle connection that timed out has no request to cancel, one
-			// with requests in progress does not time out.
-			return true
+			// Without requests in progress there is nothing to cancel.
+			return !conn.idle()
+		}
+		if !conn.begin() {
+			return false
 		}
-		conn.open.Add(1)
 		request := &fasthttp.RequestCtx{}
 		request.Init2(conn.raw, silent{}, true)
 		status, err := conn.readRequest(request, limits)
 		if err != nil && status == 0 {
-			conn.open.Add(-1)
+			conn.done(false)
 			return true
 		}
 		next := &pending{request: request, done: make(chan struct{}), last: err != nil}
@@ -107,14 +163,22 @@
 		conn.pending <- next
 		conn.start(ctx, next)
 		if next.last {
-			// Nothing may follow, but the caller may still leave.
-			_ = conn.raw.SetReadDeadline(time.Time{})
-			_, err := conn.reader.Peek(1)
-			return err != nil
+			return conn.awaitEnd()
 		}
 	}
 }
 
+// awaitEnd follows a request after which nothing may come; the caller may
+// still leave. It reports whether that happened before the last answer.
+func (conn *conn) awaitEnd() bool {
+	_ = conn.raw.SetReadDeadline(time.Time{})
+	if conn.ending() {
+		return false
+	}
+	_, err := conn.reader.Peek(1)
+	return err != nil && !conn.idle()
+}
+
 // await waits for the first byte of the next request. While requests run the
 // caller may stay silent.
 func (conn *conn) await(limits Limits) error {
@@ -127,6 +191,9 @@
 		if err := conn.raw.SetReadDeadline(time.Now().Add(limits.Idle)); err != nil {
 			return err
 		}
+		if conn.ending() {
+			return io.EOF
+		}
 		_, err := conn.reader.Peek(1)
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() && !conn.idle() {
@@ -194,11 +261,11 @@
 	broken := false
 	for next := range conn.pending {
 		<-next.done
-		conn.open.Add(-1)
+		closing := conn.done(next.last)
 		if broken {
 			continue
 		}
-		if err := conn.writeOne(next); err != nil {
+		if err := conn.writeOne(next, closing); err != nil {
 			broken = true
 			left(proxy.ErrCallerLeft)
 			conn.end()
@@ -206,10 +273,9 @@
 	}
 }
 
-func (conn *conn) writeOne(next *pending) error {
+func (conn *conn) writeOne(next *pending, closing bool) error {
 	response := &next.request.Response
 	response.SkipBody = response.SkipBody || next.request.IsHead()
-	closing := next.last || conn.server.draining.Load() && conn.idle()
 	response.Header.ResetConnectionClose()
 	if closing {
 		response.SetConnectionClose()
@@ -223,16 +289,8 @@
 	if err := conn.writer.Flush(); err != nil || !closing {
 		return err
 	}
-	conn.lingerClosed()
-	return nil
-}
-
-// lingerClosed ends the sending side; the reader goes on for a short while.
-func (conn *conn) lingerClosed() {
-	if tcp, ok := conn.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	time.AfterFunc(linger, conn.end)
+	// The reader may be waiting for more; it ends now.
+	return conn.raw.SetReadDeadline(time.Now())
 }
 
 type silent struct{}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,6 +78,10 @@
 // Last returns the latest notice, also of an upstream that is gone.
 func (holder *Holder) Last() Notice { return holder.current }
 
+// Departed reports whether the latest upstream ended its life with a word,
+// which is final; one that only fell silent may speak again.
+func (holder *Holder) Departed() bool { return holder.departed(holder.current.ID, holder.current.Born) }
+
 // Take learns a notice that holds for the given time. It returns false for one
 // that is overtaken.
 func (holder *Holder) Take(now time.Time, notice Notice, ttl time.Duration) bool {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -36,6 +36,7 @@
 	holder := New()
 	holder.Take(now, notice("a", 10, 5), ttl)
 	require.True(t, holder.Leave("a", 0))
+	require.True(t, holder.Departed())
 	require.False(t, holder.Take(now, notice("a", 10, 6), ttl), "a heartbeat that was sent before and came after")
 	_, ok := holder.Current()
 	require.False(t, ok)
@@ -98,6 +99,7 @@
 	require.False(t, holder.Expired(now.Add(ttl)))
 	require.True(t, holder.Expired(now.Add(ttl+1)))
 	holder.Lose()
+	require.False(t, holder.Departed(), "silence is not final")
 	require.True(t, holder.Take(now, notice("a", 10, 2), ttl), "one that was only silent comes back")
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -55,14 +55,20 @@
 // Impatient has the call refused rather than queued.
 func (ticket *Ticket) Impatient() { ticket.patient = false }
 
-// latest is when the call has to be answered to be worth its slot.
-func (ticket *Ticket) latest() time.Time {
-	if ticket.useful.IsZero() || ticket.useful.After(ticket.deadline) {
-		return ticket.deadline
+// worthIt reports whether a call that waits for so long and then takes the
+// given mean time is worth its slot. Half of all calls take longer than the
+// mean, so one that is to be useful in time needs more than that.
+func (ticket *Ticket) worthIt(now time.Time, wait, service time.Duration) bool {
+	if ticket.useful.IsZero() {
+		return !now.Add(wait + service).After(ticket.deadline)
 	}
-	return ticket.useful
+	end := now.Add(wait + service*usefulMargin)
+	return !end.After(ticket.useful) && !end.After(ticket.deadline)
 }
 
+// usefulMargin is the multiple of the mean time in which most calls are done.
+const usefulMargin = 2
+
 // Verdict answers a call's arrival.
 type Verdict int
 
@@ -90,8 +96,10 @@
 	draining bool
 	// lines has the waiting calls of each priority; none of them is empty.
 	lines map[int]*line
-	// service is the moving average of a call's time on the target.
-	service time.Duration
+	// service is the moving average of a call's time on the target, services
+	// that of each priority.
+	service  time.Duration
+	services map[int]time.Duration
 }
 
 // line holds the waiting calls of one priority.
@@ -105,7 +113,7 @@
 
 // New returns a gate with the given number of slots and waiting places.
 func New(slots, maxQueue int) *Gate {
-	return &Gate{slots: slots, maxQueue: maxQueue, lines: map[int]*line{}}
+	return &Gate{slots: slots, maxQueue: maxQueue, lines: map[int]*line{}, services: map[int]time.Duration{}}
 }
 
 // InFlight returns the number of calls on the target.
@@ -167,7 +175,7 @@
 	if !ticket.patient {
 		return Refuse, ReasonFull
 	}
-	if now.Add(gate.expectedWait(ticket)).After(ticket.latest()) {
+	if !ticket.worthIt(now, gate.expectedWait(ticket), gate.serviceOf(ticket.priority)) {
 		return Refuse, ReasonDeadline
 	}
 	if gate.queued >= gate.maxQueue && !gate.displace(ticket) {
@@ -177,7 +185,7 @@
 	return Wait, ""
 }
 
-// expectedWait estimates when a new call would be done: more urgent calls go
+// expectedWait estimates when a new call would get a slot: more urgent calls go
 // first, and among its equals the customer's queue is served once a round,
 // which takes one call of each customer.
 func (gate *Gate) expectedWait(ticket *Ticket) time.Duration {
@@ -190,7 +198,16 @@
 			ahead += line.ahead(ticket.customer)
 		}
 	}
-	return gate.service*time.Duration(ahead)/time.Duration(max(1, gate.slots)) + gate.service
+	return gate.service * time.Duration(ahead) / time.Duration(max(1, gate.slots))
+}
+
+// serviceOf is the mean time of the calls of a priority, or of all while none
+// of them has ended.
+func (gate *Gate) serviceOf(priority int) time.Duration {
+	if service, ok := gate.services[priority]; ok {
+		return service
+	}
+	return gate.service
 }
 
 // ahead is how many calls of the line are served before a new one.
@@ -286,10 +303,16 @@
 	gate.admitQueued(now)
 }
 
-// Done ends a call that ran for the given time and admits waiting ones.
-func (gate *Gate) Done(now time.Time, ran time.Duration) {
+// Done ends a call of a priority that ran for the given time and admits waiting
+// ones.
+func (gate *Gate) Done(now time.Time, priority int, ran time.Duration) {
 	gate.inFlight--
 	gate.service += (ran - gate.service) / serviceDecay
+	mean, ok := gate.services[priority]
+	if !ok {
+		mean = ran
+	}
+	gate.services[priority] = mean + (ran-mean)/serviceDecay
 	gate.admitQueued(now)
 }
 
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -73,7 +73,7 @@
 	ts.Check(err)
 	for _, id := range args[1:] {
 		bench.state[id] = "done"
-		bench.gate.Done(bench.now, ran)
+		bench.gate.Done(bench.now, 0, ran)
 	}
 }
 
@@ -126,7 +126,7 @@
 		}
 		calls = kept
 		for range ended {
-			gate.Done(now, service)
+			gate.Done(now, 0, service)
 		}
 		for range 3 {
 			flood := NewTicket("flood", now.Add(time.Second), func(reason Reason) {
@@ -172,6 +172,6 @@
 	for b.Loop() {
 		ticket := NewTicket("customer", now.Add(time.Second), nil)
 		gate.Arrive(now, ticket)
-		gate.Done(now, time.Millisecond)
+		gate.Done(now, 0, time.Millisecond)
 	}
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -43,7 +43,9 @@
 	// failed is the latest error answer of an upstream, kept in case no later
 	// try does better.
 	failed *fasthttp.Response
-	tried  []string
+	// tried lists targets that failed the call, full those without a free slot.
+	tried []string
+	full  []string
 	// tries counts the targets that may have seen the call, refusals the gates
 	// that turned it away.
 	tries    int
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,8 +16,12 @@
 )
 
 // maxProbes is how many gates may turn a call away for want of a free slot
-// before it queues at one of them.
-const maxProbes = 3
+// before it queues at one of them, maxRefusals how many may turn it away for
+// any reason.
+const (
+	maxProbes   = 2
+	maxRefusals = 6
+)
 
 // serveCaller takes a call from a caller, picks a target and brings the whole
 // answer back.
@@ -62,17 +67,16 @@
 // or noRetry when the caller has its answer.
 func (node *Node) try(ctx context.Context, call *call, response *fasthttp.Response) (result, time.Duration) {
 	started := node.now()
-	node.lock.Lock()
-	choice, ok := node.picker.Choose(started, picker.Want{Service: call.service, Takes: call.side.takes, Tried: call.tried})
-	node.lock.Unlock()
+	choice, patient, ok := node.place(started, call)
 	if !ok {
-		return node.noTarget(ctx, call)
+		ended := result{outcome: proxy.OutcomeNotRun, reason: "no target of " + call.service}
+		return node.deliver(ctx, call, ended, nil), noRetry
 	}
 	target := choice.Target
-	call.tried = append(call.tried, target.Name)
-	patient := !choice.Room || call.refusals >= maxProbes
 	err := node.exchange(ctx, call, target, patient, response)
 	result := node.judge(ctx, err, response)
+	result.final = result.final || patient && result.full
+	call.visited(target.Name, result)
 	latency := node.now().Sub(started)
 	node.lock.Lock()
 	node.picker.Done(node.now(), target.Name, result.learned, latency, result.load)
@@ -122,16 +126,33 @@
 	response.CopyTo(call.failed)
 }
 
-// noTarget ends a call for which no target is left. Gates that had no free
-// slot are asked once more, now to queue the call.
-func (node *Node) noTarget(ctx context.Context, call *call) (result, time.Duration) {
-	refused := result{outcome: proxy.OutcomeNotRun, reason: "no target of " + call.service}
-	if call.refusals > 0 && call.refusals < maxProbes && ctx.Err() == nil && call.failed == nil {
-		call.refusals = maxProbes
-		call.tried = nil
-		return refused, 0
+// place chooses a target with a free slot, or else the one where the call
+// waits least; patient is true when it is to wait there.
+func (node *Node) place(now time.Time, call *call) (choice picker.Choice, patient, ok bool) {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	want := picker.Want{Service: call.service, Takes: call.side.takes, Tried: slices.Concat(call.tried, call.full)}
+	if len(call.full) < maxProbes {
+		choice, ok = node.picker.Choose(now, want)
+		if ok && choice.Room {
+			return choice, false, true
+		}
+		if ok {
+			node.picker.Done(now, choice.Target.Name, picker.ResultCanceled, 0, nil)
+		}
+	}
+	want.Tried, want.Queue = call.tried, true
+	choice, ok = node.picker.Choose(now, want)
+	return choice, true, ok
+}
+
+// visited remembers where the call need not go again.
+func (call *call) visited(name string, result result) {
+	if result.full {
+		call.full = append(call.full, name)
+		return
 	}
-	return node.deliver(ctx, call, refused, nil), noRetry
+	call.tried = append(call.tried, name)
 }
 
 // again decides on another try. What no upstream saw goes elsewhere without
@@ -146,7 +167,7 @@
 		return 0, false
 	}
 	if result.outcome == proxy.OutcomeNotRun && !result.spent {
-		return 0, call.refusals <= maxProbes
+		return 0, call.refusals < maxRefusals
 	}
 	if most := call.route.MaxAttempts(); most > 0 && call.tries >= most {
 		return 0, false
@@ -258,7 +279,7 @@
 	if call.mayHaveRun {
 		final.Outcome, final.Status = proxy.OutcomeUnknown, fasthttp.StatusBadGateway
 	}
-	if ended.final && response != nil {
+	if ended.final && response != nil && !call.mayHaveRun && !ended.full {
 		final.Status = response.StatusCode()
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && call.mayHaveRun {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -59,7 +59,7 @@
 			Born:     last.Born,
 			Sequence: last.Sequence,
 			Draining: last.Draining,
-			Gone:     !held,
+			Gone:     gate.holder.Departed(),
 		},
 	}
 	switch {
@@ -325,10 +325,10 @@
 }
 
 // leave gives the slot back.
-func (gate *gate) leave(ran time.Duration) {
+func (gate *gate) leave(priority int, ran time.Duration) {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	gate.limit.Done(gate.node.now(), ran)
+	gate.limit.Done(gate.node.now(), priority, ran)
 }
 
 // vacate gives a slot back that was not used.
@@ -342,7 +342,8 @@
 // returns the outcome that was answered.
 func (gate *gate) forward(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx) proxy.Outcome {
 	started := gate.node.now()
-	defer func() { gate.leave(gate.node.now().Sub(started)) }()
+	priority, _ := strconv.Atoi(string(request.Request.Header.Peek(proxy.HeaderPriority)))
+	defer func() { gate.leave(priority, gate.node.now().Sub(started)) }()
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
 	request.Request.CopyTo(outgoing)
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
@@ -23,6 +24,8 @@
 	final bool
 	// spent is true when an upstream saw the call, whatever came of it.
 	spent bool
+	// full is true for a gate's refusal for want of a slot in time.
+	full bool
 	// retryAfter is the pause that an upstream asked for.
 	retryAfter time.Duration
 	// room is when a gate that refused expects a free slot.
@@ -54,6 +57,7 @@
 		if judged.spent {
 			judged.learned = picker.ResultFailed
 		}
+		judged.full = judged.reason == string(limit.ReasonFull) || judged.reason == string(limit.ReasonDeadline)
 		judged.final = response.StatusCode() < fasthttp.StatusInternalServerError
 	default:
 		judged.outcome, judged.learned = proxy.OutcomeUnknown, picker.ResultFailed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -350,33 +350,28 @@
 	// leaveReserve is the part of the grace that is kept for the end of the
 	// process itself.
 	leaveReserve = 700 * time.Millisecond
-	// leaveLook is the pause between two looks for calls in progress.
-	leaveLook = 20 * time.Millisecond
 )
 
-// leave is the planned stop: first no new work, then the calls in progress
-// end, then the node is gone. Callers are served until they had the time to
-// see that the node is not ready.
+// leave is the planned stop. Callers are served as usual until they had the
+// time to see that the node is not ready, so that neither they nor the slots
+// of the upstream wait; then nothing new is taken and what is in progress ends.
 func (node *Node) leave(opened listeners, callers, gates *front.Server) error {
-	node.log.Info("leaving")
+	node.log.Info("leaving", "calls", callers.Active(), "gateCalls", gates.Active())
 	node.stopping.Store(true)
-	node.gate.drain()
-	node.announce()
-	began := node.now()
 	grace := time.Duration(node.settings.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), max(leavePause, grace-leaveReserve))
 	defer cancel()
-	pause := max(leavePause, time.Duration(node.settings.Notice))
-	for ctx.Err() == nil && (node.now().Sub(began) < pause || callers.Active()+gates.Active() > 0) {
-		time.Sleep(leaveLook)
-		if node.now().Sub(began) >= pause {
-			callers.Drain()
-			gates.Drain()
-		}
-	}
+	time.Sleep(min(time.Duration(node.settings.Notice), grace/2))
+	node.gate.drain()
+	node.announce()
+	time.Sleep(leavePause)
 	failure := errors.Join(opened.callers.Close(), opened.gate.Close())
+	ended := make(chan error, 2)
 	for _, server := range []*front.Server{callers, gates} {
-		if err := server.Shutdown(ctx); err != nil {
+		go func() { ended <- server.Shutdown(ctx) }()
+	}
+	for range cap(ended) {
+		if err := <-ended; err != nil {
 			failure = errors.Join(failure, trace.Wrap(err, "calls were still in progress at the end of the grace"))
 		}
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -108,6 +108,9 @@
 	Takes func(version string) bool
 	// Tried lists targets that are not to be chosen again.
 	Tried []string
+	// Queue is true for a call that found no free slot and is to wait where it
+	// waits least.
+	Queue bool
 }
 
 func (want Want) fits(state *targetState) bool {
@@ -191,12 +194,45 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
-	chosen := picker.choose(now, picker.prefer(now, usable))
+	chosen := picker.shortest(now, want, usable)
+	if chosen == nil {
+		chosen = picker.choose(now, picker.prefer(now, usable))
+	}
 	room := chosen.hasRoom(now)
 	chosen.inFlight++
 	return Choice{Target: chosen.target, Room: room}, true
 }
 
+// farPenalty is how much longer a queue of the own zone may be than one of
+// another zone: traffic between zones is dear.
+const farPenalty = 1.5
+
+// shortest returns the target whose queue is the shortest for its speed, nil if
+// the call is not to queue.
+func (picker *Picker) shortest(now time.Time, want Want, usable []*targetState) *targetState {
+	if !want.Queue {
+		return nil
+	}
+	var best *targetState
+	least := math.Inf(1)
+	for _, state := range usable {
+		cost := state.decayed(now) * float64(state.busy(now)+1) / float64(max(1, state.target.Slots))
+		if state.target.Zone != picker.zone {
+			cost *= farPenalty
+		}
+		if state.target.Suspect || now.Before(state.ejected) {
+			cost += unusualCost
+		}
+		if cost < least {
+			best, least = state, cost
+		}
+	}
+	return best
+}
+
+// unusualCost puts suspect and ejected targets behind all others, in seconds.
+const unusualCost = 3600
+
 // prefer narrows the candidates while some remain: not suspect, not ejected,
 // not just refused, with room, in the own zone, beside this node.
 func (picker *Picker) prefer(now time.Time, candidates []*targetState) []*targetState {
