--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -51,13 +51,12 @@
 // Timing and bounds of the choice.
 const (
 	latencyDecay     = 10 * time.Second
-	slowStart        = 10 * time.Second
-	loadStale        = 2 * time.Second
+	slowStart        = 4 * time.Second
+	loadStale        = time.Second
 	ejectBase        = 5 * time.Second
 	ejectMax         = time.Minute
 	refusedPause     = 250 * time.Millisecond
 	failuresToEject  = 5
-	zoneRoomPercent  = 80
 	ejectMaxPercent  = 34
 	coldLatency      = 5 * time.Millisecond
 	slowStartMinimum = 0.1
@@ -253,17 +252,28 @@
 	return candidates
 }
 
-// busy is the larger of the own calls in flight and the target's own fresh
-// figure.
+// busy is the larger of the own calls in flight and the target's own figure,
+// which fades with its age: the calls that it counted end one by one.
 func (state *targetState) busy(now time.Time) int {
-	if now.Sub(state.loadAt) > loadStale {
+	age := now.Sub(state.loadAt)
+	if age >= loadStale {
 		return state.inFlight
 	}
-	return max(state.inFlight, state.load.InFlight+state.load.Queued)
+	told := float64(state.load.InFlight + state.load.Queued)
+	return max(state.inFlight, int(math.Round(told*float64(loadStale-age)/float64(loadStale))))
 }
 
+// hasRoom reports whether a slot is believed to be free. The gates refuse what
+// does not fit, so that a wrong belief costs one more hop.
 func (state *targetState) hasRoom(now time.Time) bool {
-	return state.busy(now)*100 < state.target.Slots*zoneRoomPercent
+	return state.busy(now) < state.target.Slots
+}
+
+// Tell learns a target's load that did not come with an answer.
+func (picker *Picker) Tell(now time.Time, name string, load Load) {
+	if state, ok := picker.states[name]; ok {
+		state.load, state.loadAt = load, now
+	}
 }
 
 // cost is the expected wait of one more call; lower is better.
