Recovery: sooner first elections, early notices kept, upstreams recalled

Ruled out: the nodes' search for a parent (0.1 s after the leader). Change: a replica that has just started seeks votes after two heartbeats and up to half an election timeout (the pre-vote protects a leader that is there); notices that come too early are kept, one of a draining target is obeyed at once; an upstream that others remember is believed until it speaks or its time is over (its address is a setting).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -121,6 +121,9 @@
 	Ready string `json:"ready"`
 	// Service is the service beside which calls through this node begin.
 	Service string `json:"service"`
+	// Upstream is the address of the upstream, if it is always the same; a node
+	// that was restarted then serves it before it speaks again.
+	Upstream string `json:"upstream"`
 	// Heartbeat is how often the upstream speaks.
 	Heartbeat Duration `json:"heartbeat"`
 	// ControlPort replaces the port of the addresses in Control, when these name
@@ -232,6 +235,7 @@
 	checker.positive("heartbeat", node.Heartbeat)
 	checker.face(node.Interface)
 	checker.optional("ready", node.Ready)
+	checker.optional("upstream", node.Upstream)
 	checker.require(node.Retry.Share >= 0 && node.Retry.Slack >= 0, "retry", "must not be negative")
 	checker.levels(node.Log)
 	return checker.err
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -129,8 +129,10 @@
 }
 
 // Recall learns what this node had told others before it was restarted. A
-// notice that is overtaken by what is known here is dropped.
-func (holder *Holder) Recall(notice Notice, gone bool) {
+// notice that is overtaken by what is known here is dropped. An upstream whose
+// address is given is believed to be there still for the given time; without
+// one it has to speak first.
+func (holder *Holder) Recall(now time.Time, notice Notice, gone bool, ttl time.Duration) {
 	if notice.ID == "" {
 		return
 	}
@@ -142,8 +144,11 @@
 		holder.current.Draining = holder.current.Draining || notice.Draining
 		return
 	}
-	if !holder.held && notice.after(holder.current) {
-		// It is believed again only once it speaks.
-		holder.current = notice
+	if holder.held || holder.departed(notice.ID, notice.Born) || !notice.after(holder.current) {
+		return
+	}
+	holder.current = notice
+	if notice.Address != "" && notice.Service != "" {
+		holder.held, holder.until = true, now.Add(ttl)
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -97,16 +97,29 @@
 	request.SetBodyString("{}\n")
 }
 
-// Announce takes an upstream's notice. It returns false while this node cannot
-// tell whether the notice is overtaken.
-func (node *Node) Announce(notice lease.Notice) bool {
+// Announce takes an upstream's notice. While this node cannot tell whether the
+// notice is overtaken, one of a draining upstream is obeyed at once, and any
+// other is kept until then.
+func (node *Node) Announce(notice lease.Notice) {
 	if !notice.Draining && !node.recalled() {
-		return false
+		node.early.Store(&notice)
+		if !node.recalled() {
+			return
+		}
 	}
 	if !node.gate.accept(notice, node.noticeTTL) {
 		node.log.Info("notice overtaken", "upstream", notice.ID, "born", notice.Born, "sequence", notice.Sequence)
 	}
-	return true
+}
+
+// takeEarly believes the notice that came before this node had asked others.
+func (node *Node) takeEarly() {
+	if !node.recalled() {
+		return
+	}
+	if notice := node.early.Swap(nil); notice != nil {
+		node.gate.accept(*notice, node.noticeTTL)
+	}
 }
 
 // Deregister ends an upstream's life; born zero means the one that is known.
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -133,10 +133,11 @@
 		return
 	}
 	gate.lock.Lock()
-	gate.holder.Recall(lease.Notice{
+	gate.holder.Recall(gate.node.now(), lease.Notice{
 		ID: upstream.ID, Born: upstream.Born, Sequence: upstream.Sequence, Draining: upstream.Draining,
 		Service: upstream.Service, Version: upstream.Version, Slots: upstream.Slots,
-	}, upstream.Gone)
+		Address: gate.node.settings.Upstream,
+	}, upstream.Gone, gate.node.noticeTTL)
 	notice, held := gate.holder.Current()
 	if held {
 		gate.settle(notice)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/distr"
 	"github.com/vanillapulley/vanillapulley/internal/front"
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/link"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
 	"github.com/vanillapulley/vanillapulley/internal/member"
@@ -137,6 +138,9 @@
 	noticeTTL time.Duration
 	// stopping is true from the order to stop on.
 	stopping atomic.Bool
+	// early is the latest notice that came before this node had asked others
+	// what it had told of its upstream.
+	early atomic.Pointer[lease.Notice]
 	// reloaded is true until the control VMs of changed settings are used.
 	reloaded atomic.Bool
 	// changed is true when the own record has to be announced again.
@@ -394,6 +398,7 @@
 		if node.changed.Swap(false) {
 			node.announce()
 		}
+		node.takeEarly()
 		node.updateTargets()
 		node.gate.expire()
 	})
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -91,7 +91,10 @@
 		commit:    log.base.Index,
 		applied:   log.base.Index,
 	}
-	core.resetElection(now)
+	// After a start no leader is known, and one that is there speaks within a
+	// heartbeat: this replica seeks votes sooner than in the midst of a term.
+	// The pre-vote keeps it from disturbing a leader it has not heard yet.
+	core.electionDue = now.Add(2*timing.Heartbeat + time.Duration(random.Int64N(int64(timing.Election/2))))
 	return core, nil
 }
 
