The fastest target with room in the own zone, by its gate's own measure

Ruled out: the caller's own moving average as the measure: too few calls of one node to one target, of unequal work. Change: gates tell the mean time of all calls on their target with every answer; a node compares two targets of its zone with room by that; the one beside it wins among equals.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -83,8 +83,8 @@
 )
 
 // serviceDecay is the weight of the newest service time in the average, as a
-// divisor.
-const serviceDecay = 8
+// divisor: a target turns over its slots twice in that many calls.
+const serviceDecay = 24
 
 // Gate is the admission control of one target. It is not safe for concurrent
 // use.
@@ -122,6 +122,9 @@
 // Queued returns the number of waiting calls.
 func (gate *Gate) Queued() int { return gate.queued }
 
+// Service returns the mean time of the calls on the target.
+func (gate *Gate) Service() time.Duration { return gate.service }
+
 // Draining reports whether new calls are refused.
 func (gate *Gate) Draining() bool { return gate.draining }
 
@@ -307,6 +310,9 @@
 // ones.
 func (gate *Gate) Done(now time.Time, priority int, ran time.Duration) {
 	gate.inFlight--
+	if gate.service == 0 {
+		gate.service = ran
+	}
 	gate.service += (ran - gate.service) / serviceDecay
 	mean, ok := gate.services[priority]
 	if !ok {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -129,10 +129,10 @@
 // place chooses a target with a free slot, or else the one where the call
 // waits least; patient is true when it is to wait there.
 func (node *Node) place(now time.Time, call *call) (choice picker.Choice, patient, ok bool) {
-	inFlight, queued := node.gate.load()
+	load := node.gate.load()
 	node.lock.Lock()
 	defer node.lock.Unlock()
-	node.picker.Tell(now, node.settings.Name, picker.Load{InFlight: inFlight, Queued: queued})
+	node.picker.Tell(now, node.settings.Name, load)
 	want := picker.Want{Service: call.service, Takes: call.side.takes, Tried: slices.Concat(call.tried, call.full)}
 	if len(call.full) < maxProbes {
 		choice, ok = node.picker.Choose(now, want)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -15,6 +15,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
@@ -71,10 +72,10 @@
 	return record
 }
 
-func (gate *gate) load() (inFlight, queued int) {
+func (gate *gate) load() picker.Load {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	return gate.limit.InFlight(), gate.limit.Queued()
+	return picker.Load{InFlight: gate.limit.InFlight(), Queued: gate.limit.Queued(), Service: gate.limit.Service()}
 }
 
 // drain refuses new calls from now on.
@@ -222,8 +223,8 @@
 	} else {
 		gate.serveOnce(ctx, request)
 	}
-	inFlight, queued := gate.load()
-	request.Response.Header.Set(proxy.HeaderLoad, fmt.Sprintf("%d/%d", inFlight, queued))
+	load := gate.load()
+	request.Response.Header.Set(proxy.HeaderLoad, fmt.Sprintf("%d/%d/%d", load.InFlight, load.Queued, load.Service.Milliseconds()))
 }
 
 // detach returns a context with the same deadline that does not end when the
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -97,18 +97,20 @@
 	return lost
 }
 
+// readLoad reads calls in flight, calls that wait and the mean time of a call
+// in milliseconds; nil if the text is anything else.
 func readLoad(text string) *picker.Load {
-	first, second, ok := strings.Cut(text, "/")
-	if !ok {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 {
 		return nil
 	}
-	inFlight, err := strconv.Atoi(first)
-	if err != nil {
-		return nil
-	}
-	queued, err := strconv.Atoi(second)
-	if err != nil {
-		return nil
+	var numbers [3]int
+	for i, part := range parts {
+		number, err := strconv.Atoi(part)
+		if err != nil {
+			return nil
+		}
+		numbers[i] = number
 	}
-	return &picker.Load{InFlight: inFlight, Queued: queued}
+	return &picker.Load{InFlight: numbers[0], Queued: numbers[1], Service: time.Duration(numbers[2]) * time.Millisecond}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -449,8 +449,8 @@
 	node.stats.Gauge("vp_control_sent_bytes", func() float64 { return float64(node.traffic.Sent.Load()) })
 	node.stats.Gauge("vp_control_received_bytes", func() float64 { return float64(node.traffic.Received.Load()) })
 	node.stats.Gauge("vp_config_version", func() float64 { return float64(node.version()) })
-	node.stats.Gauge("vp_calls_in_flight", func() float64 { inFlight, _ := node.gate.load(); return float64(inFlight) })
-	node.stats.Gauge("vp_calls_queued", func() float64 { _, queued := node.gate.load(); return float64(queued) })
+	node.stats.Gauge("vp_calls_in_flight", func() float64 { return float64(node.gate.load().InFlight) })
+	node.stats.Gauge("vp_calls_queued", func() float64 { return float64(node.gate.load().Queued) })
 }
 
 // version returns the configuration version in force, zero for none.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -31,6 +31,8 @@
 type Load struct {
 	InFlight int
 	Queued   int
+	// Service is the mean time of all calls on the target, zero for unknown.
+	Service time.Duration
 }
 
 // Result is how one call on a target ended.
@@ -53,6 +55,7 @@
 	latencyDecay     = 10 * time.Second
 	slowStart        = 4 * time.Second
 	loadStale        = time.Second
+	speedStale       = 5 * time.Second
 	ejectBase        = 5 * time.Second
 	ejectMax         = time.Minute
 	refusedPause     = 250 * time.Millisecond
@@ -96,8 +99,8 @@
 	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, groups: map[string][]*targetState{}}
 }
 
-// Near names the target beside this node, which is preferred while it has
-// room: a call to it crosses no network.
+// Near names the target beside this node, which is preferred among equals: a
+// call to it crosses no network.
 func (picker *Picker) Near(self string) { picker.self = self }
 
 // Want describes the target that a call needs.
@@ -215,7 +218,7 @@
 	var best *targetState
 	least := math.Inf(1)
 	for _, state := range usable {
-		cost := state.decayed(now) * float64(state.busy(now)+1) / float64(max(1, state.target.Slots))
+		cost := state.speed(now) * float64(state.busy(now)+1) / float64(max(1, state.target.Slots))
 		if state.target.Zone != picker.zone {
 			cost *= farPenalty
 		}
@@ -233,7 +236,7 @@
 const unusualCost = 3600
 
 // prefer narrows the candidates while some remain: not suspect, not ejected,
-// not just refused, with room, in the own zone, beside this node.
+// not just refused, with room, in the own zone.
 func (picker *Picker) prefer(now time.Time, candidates []*targetState) []*targetState {
 	wishes := []func(*targetState) bool{
 		func(state *targetState) bool { return !state.target.Suspect },
@@ -241,7 +244,6 @@
 		func(state *targetState) bool { return !now.Before(state.pausedUntil) },
 		func(state *targetState) bool { return state.hasRoom(now) },
 		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasRoom(now) },
-		func(state *targetState) bool { return state.target.Name == picker.self && state.hasRoom(now) },
 	}
 	for _, wish := range wishes {
 		kept := slices.DeleteFunc(slices.Clone(candidates), func(state *targetState) bool { return !wish(state) })
@@ -276,11 +278,27 @@
 	}
 }
 
-// cost is the expected wait of one more call; lower is better.
-func (state *targetState) cost(now time.Time) float64 {
-	latency := state.decayed(now)
-	slots := max(1, state.target.Slots)
-	return latency * (1 + float64(state.busy(now))/float64(slots)*2) * float64(state.inFlight+1)
+// nearDiscount makes the target beside this node win among equals.
+const nearDiscount = 0.9
+
+// cost is the expected time of one more call; lower is better. Calls do not
+// wait for each other while slots are free, but some targets slow down as they
+// fill.
+func (picker *Picker) cost(now time.Time, state *targetState) float64 {
+	cost := state.speed(now) * (1 + float64(state.busy(now))/float64(max(1, state.target.Slots)))
+	if state.target.Name == picker.self {
+		cost *= nearDiscount
+	}
+	return cost
+}
+
+// speed is the mean time of a call in seconds, as the target's node measures it
+// over all callers, or as it was seen from here.
+func (state *targetState) speed(now time.Time) float64 {
+	if state.load.Service > 0 && now.Sub(state.loadAt) < speedStale {
+		return state.load.Service.Seconds()
+	}
+	return state.decayed(now)
 }
 
 // warmth is the part of its even share that a target may get, which rises from
@@ -306,7 +324,7 @@
 		j++
 	}
 	better, other := candidates[i], candidates[j]
-	if other.cost(now) < better.cost(now) {
+	if picker.cost(now, other) < picker.cost(now, better) {
 		better, other = other, better
 	}
 	if picker.random.Float64() > better.warmth(now) && other.warmth(now) > better.warmth(now) {
