First messages between replicas are held; a node that leaves for good takes its grace

And 116 calls in two seconds found no connection: seven nodes whose targets had gone with a rolled-back version exited 2.6 s after SIGTERM, while their callers had nowhere else to go. Ruled out: the search for a parent, the heartbeats (both within 0.2 s). Change: up to 32 notifications wait for a connection that is being made; a pre-vote round is repeated after half an election timeout; a node without an upstream serves callers until the calls in progress need the rest of the grace.

--- a/internal/link/caller.go
+++ b/internal/link/caller.go
@@ -15,13 +15,14 @@
 	options Options
 	lock    sync.Mutex
 	conns   map[string]*Conn
-	// dialling holds the addresses that Post is connecting to.
-	dialling map[string]bool
+	// held has what waits for a connection, for the addresses that Post is
+	// connecting to.
+	held map[string][]notification
 }
 
 // NewCaller returns a caller whose connections end with the context.
 func NewCaller(ctx context.Context, options Options) *Caller {
-	return &Caller{ctx: ctx, options: options, conns: map[string]*Conn{}, dialling: map[string]bool{}}
+	return &Caller{ctx: ctx, options: options, conns: map[string]*Conn{}, held: map[string][]notification{}}
 }
 
 // Call sends a request to an address and waits for its answer.
@@ -33,36 +34,51 @@
 	return conn.Call(ctx, method, params, result)
 }
 
-// Post sends a notification without waiting. It is lost when there is no
-// connection yet; one is then made in the background.
+// maxHeld bounds the notifications to one address that wait for a connection.
+const maxHeld = 32
+
+// Post sends a notification without waiting. While there is no connection yet
+// the latest ones are held until one is made in the background; they are lost
+// if it cannot be made.
 func (caller *Caller) Post(ctx context.Context, address, method string, params any) {
 	caller.lock.Lock()
 	conn, ok := caller.conns[address]
-	begin := !ok && !caller.dialling[address]
-	if begin {
-		caller.dialling[address] = true
+	held, begun := caller.held[address]
+	if !ok {
+		held = append(held, notification{method: method, params: params})
+		caller.held[address] = held[max(0, len(held)-maxHeld):]
 	}
 	caller.lock.Unlock()
 	if ok {
 		conn.Notify(method, params)
 		return
 	}
-	if !begin {
+	if begun {
 		return
 	}
 	dial := func() {
-		_, _ = caller.conn(ctx, address)
-		caller.lock.Lock()
-		defer caller.lock.Unlock()
-		delete(caller.dialling, address)
+		conn, err := caller.conn(ctx, address)
+		waiting := caller.release(address)
+		for _, next := range waiting {
+			if err == nil {
+				conn.Notify(next.method, next.params)
+			}
+		}
 	}
 	if caller.options.Pool.Submit(dial) != nil {
-		caller.lock.Lock()
-		defer caller.lock.Unlock()
-		delete(caller.dialling, address)
+		caller.release(address)
 	}
 }
 
+// release returns what was held for an address.
+func (caller *Caller) release(address string) []notification {
+	caller.lock.Lock()
+	defer caller.lock.Unlock()
+	held := caller.held[address]
+	delete(caller.held, address)
+	return held
+}
+
 func (caller *Caller) conn(ctx context.Context, address string) (*Conn, error) {
 	caller.lock.Lock()
 	conn, ok := caller.conns[address]
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -78,6 +78,14 @@
 	return picker.Load{InFlight: gate.limit.InFlight(), Queued: gate.limit.Queued(), Service: gate.limit.Service()}
 }
 
+// vacant reports whether there is no upstream.
+func (gate *gate) vacant() bool {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	_, held := gate.holder.Current()
+	return !held
+}
+
 // drain refuses new calls from now on.
 func (gate *gate) drain() {
 	gate.lock.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -354,6 +354,8 @@
 	// leaveReserve is the part of the grace that is kept for the end of the
 	// process itself.
 	leaveReserve = 700 * time.Millisecond
+	// leaveCalls is the part of the grace in which the last calls end.
+	leaveCalls = 1500 * time.Millisecond
 )
 
 // leave is the planned stop. Callers are served as usual until they had the
@@ -365,7 +367,7 @@
 	grace := time.Duration(node.settings.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), max(leavePause, grace-leaveReserve))
 	defer cancel()
-	time.Sleep(min(time.Duration(node.settings.Notice), grace/2))
+	time.Sleep(node.noticeTime())
 	node.gate.drain()
 	node.announce()
 	time.Sleep(leavePause)
@@ -386,6 +388,18 @@
 	return failure
 }
 
+// noticeTime is how long callers are served after a planned stop began. A node
+// whose upstream is gone leaves for good: nothing gains from an early end, and
+// its callers have nowhere else to go while most nodes around are leaving too.
+func (node *Node) noticeTime() time.Duration {
+	grace := time.Duration(node.settings.Grace)
+	notice := min(time.Duration(node.settings.Notice), grace/2)
+	if node.settings.Notice > 0 && node.gate.vacant() {
+		notice = max(notice, grace-leaveReserve-leaveCalls)
+	}
+	return notice
+}
+
 // announce spreads the node's own record as it is now.
 func (node *Node) announce() {
 	record := node.gate.record()
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -212,6 +212,11 @@
 	core.leader = ""
 	core.votes = map[string]bool{core.id: true}
 	core.resetElection(now)
+	if role == RolePreCandidate {
+		// A round that came to nothing is soon repeated; it disturbs nobody.
+		half := core.timing.Election / 2
+		core.electionDue = now.Add(half + time.Duration(core.random.Int64N(int64(half))))
+	}
 	kind, term := MessagePreVote, core.hard.Term+1
 	if role == RoleCandidate {
 		core.hard = HardState{Term: term, Vote: core.id}
