Every class may wait a little: urgent calls are not passed by on a slow target

The rule that a call queues only if twice its mean time still fits turned every urgent call away that found no free slot (2 x 134 ms against 250 ms), while short and less urgent calls queued and took each slot that became free. Ruled out: the order of the queue, which was by priority. Change: any call may wait for a quarter of its time.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -62,12 +62,20 @@
 	if ticket.useful.IsZero() {
 		return !now.Add(wait + service).After(ticket.deadline)
 	}
-	end := now.Add(wait + service*usefulMargin)
-	return !end.After(ticket.useful) && !end.After(ticket.deadline)
+	left := ticket.useful.Sub(now)
+	allowed := max(left-service*usefulMargin, left/leastWaitPart)
+	return wait <= allowed && !now.Add(wait+service).After(ticket.deadline)
 }
 
-// usefulMargin is the multiple of the mean time in which most calls are done.
-const usefulMargin = 2
+const (
+	// usefulMargin is the multiple of the mean time in which most calls are
+	// done.
+	usefulMargin = 2
+	// leastWaitPart is the part of its time, as a divisor, for which any call
+	// may wait: on a target that is slow for it an urgent call would otherwise
+	// be turned away while less urgent ones queue and take every free slot.
+	leastWaitPart = 4
+)
 
 // Verdict answers a call's arrival.
 type Verdict int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,13 +298,26 @@
 	case end := <-group.Ends():
 		failure = trace.Wrap(end.Err, "%s ended", end.Name)
 	}
-	failure = errors.Join(failure, node.leave(opened, callers, gates), admin.Shutdown())
+	failure = errors.Join(failure, node.leave(opened, callers, gates), shutdownAdmin(admin))
 	cancel()
 	group.Wait()
 	node.log.Info("stopped")
 	return failure
 }
 
+// adminTimeout bounds the wait for questions to the admin address.
+const adminTimeout = 200 * time.Millisecond
+
+func shutdownAdmin(admin *fasthttp.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	err := admin.ShutdownWithContext(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // limits bound what callers may send, as the configuration in force says.
 func (node *Node) limits() front.Limits {
 	limits := front.DefaultLimits()
@@ -353,7 +366,7 @@
 	leavePause = 300 * time.Millisecond
 	// leaveReserve is the part of the grace that is kept for the end of the
 	// process itself.
-	leaveReserve = 700 * time.Millisecond
+	leaveReserve = time.Second
 	// leaveCalls is the part of the grace in which the last calls end.
 	leaveCalls = 1500 * time.Millisecond
 )
