Decisions explained: bounded logs, vpctl explain; whole configurations and shifts in the product

Cause: on-call engineers have only logs and metrics, and lines went straight to a pipe under a lock; the product could replace a whole configuration and roll out a service only through the platform's interface. Change: lines are queued (1,024) and written by one goroutine, lines about calls are bounded to 200 a second and ordinary ones sampled, what is left out is counted and said; a line for each call that did not go the usual way, each refusal at a gate with its grounds, each lost answer; vpctl explain follows a value through logs of any size; POST /v1/replace and /v1/shifts, vpctl replace and shift; a metrics address. vpctl.go is split. Tests: logs (a full pipe delays nobody, bounded lines), trail, whole.txtar over real processes.

--- /dev/null
+++ b/internal/cmds/explain.go
@@ -0,0 +1,66 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vanillapulley/vanillapulley/internal/trail"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "follow a call, an upstream, a rollout or a configuration through logs",
+		ArgsUsage: "VALUE LOG...",
+		Description: "Prints every line of the logs that has the value in one of its fields, in the order of time.\n" +
+			"Example: vpctl explain 9c41d07be2a35f68 node-*.log control-*.log",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.NArg() < 2 {
+				return trace.BadParameter("give a VALUE and at least one LOG")
+			}
+			found := trail.New(c.Args().First())
+			for _, name := range c.Args().Tail() {
+				if err := readLog(found, name); err != nil {
+					return err
+				}
+			}
+			return printTrail(c, found)
+		},
+	}
+}
+
+func readLog(found *trail.Trail, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	base := filepath.Base(name)
+	return errors.Join(found.Read(strings.TrimSuffix(base, filepath.Ext(base)), file), file.Close())
+}
+
+func printTrail(c *cli.Command, found *trail.Trail) error {
+	out := c.Root().Writer
+	steps := found.Steps()
+	for _, step := range steps {
+		_, _ = fmt.Fprintf(out, "%s  %-24s %-8s %s  %s\n",
+			step.Line.At.Format(time.RFC3339Nano), step.Process, step.Line.Logger, step.Line.Message, step.Details())
+	}
+	if found.Left() > 0 {
+		_, _ = fmt.Fprintf(out, "%d more lines are left out\n", found.Left())
+	}
+	if found.Skipped() > 0 {
+		_, _ = fmt.Fprintf(out, "%d lines were none of vanillapulley's\n", found.Skipped())
+	}
+	if len(steps) == 0 {
+		return trace.NotFound("no line has this value; usual calls are only sampled")
+	}
+	return nil
+}
--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -295,6 +295,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	request.Host = headers["Host"]
 	response, err := callers.Do(request)
 	if err != nil {
 		return answerSeen{err: err}
@@ -319,6 +320,8 @@
 			headers["Idempotency-Key"] = value
 		case "timeout":
 			headers["Vp-Timeout-Ms"] = value
+		case "host":
+			headers["Host"] = value
 		case "customer":
 			headers["Vp-Customer"] = value
 		case "leave":
@@ -366,10 +369,14 @@
 	}
 }
 
-// cmdLoad sends calls until unload: load NAME PER_SECOND PATH ADDRESS...
+// cmdLoad sends calls until unload: load NAME PER_SECOND PATH ADDRESS... [host=HOST]
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	rate, _ := strconv.Atoi(args[1])
 	path, addresses := args[2], args[3:]
+	headers := map[string]string{}
+	if host, ok := strings.CutPrefix(addresses[len(addresses)-1], "host="); ok {
+		headers["Host"], addresses = host, addresses[:len(addresses)-1]
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &load{cancel: cancel, ended: make(chan struct{}), counts: map[string]int{}}
 	benchOf(ts).loads[args[0]] = started
@@ -386,7 +393,7 @@
 			case <-ticker.C:
 			}
 			running.Go(func() {
-				started.add(sendCall(context.Background(), addresses[i%len(addresses)], "GET", path, nil))
+				started.add(sendCall(context.Background(), addresses[i%len(addresses)], "GET", path, headers))
 			})
 		}
 	}()
--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -73,9 +73,11 @@
 					return named(err, c.String("settings"), "data")
 				}
 			}
+			factory := logs.New(c.Root().Writer, settings.Log)
+			defer factory.Close()
 			deps := ctrl.Deps{
 				Settings: settings,
-				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
+				Logs:     factory,
 				Stats:    stats.New(),
 				Now:      time.Now,
 				Random:   newRandom,
@@ -105,9 +107,11 @@
 			if err != nil {
 				return err
 			}
+			factory := logs.New(c.Root().Writer, settings.Log)
+			defer factory.Close()
 			deps := node.Deps{
 				Settings: settings,
-				Logs:     logs.New(c.Root().ErrWriter, settings.Log),
+				Logs:     factory,
 				Stats:    stats.New(),
 				Now:      time.Now,
 				Random:   newRandom,
--- /dev/null
+++ b/internal/cmds/whole.go
@@ -0,0 +1,68 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/client"
+)
+
+func replaceCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "replace",
+		Usage:       "replace all services and routes by those of a file",
+		Description: "The file names its own number and the one it builds on; sending it again is safe.\nExample: vpctl replace -f examples/whole.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE`"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			data, err := os.ReadFile(c.String("file"))
+			if err != nil {
+				return trace.ConvertSystemError(err)
+			}
+			var body wire.ReplaceRequest
+			if err := wire.Strict(data, &body); err != nil {
+				return trace.BadParameter("%s: %s", c.String("file"), err)
+			}
+			return order(ctx, c, "/v1/replace", body, fmt.Sprintf("configuration %d is accepted", body.Number))
+		},
+	}
+}
+
+func shiftCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "shift",
+		Usage:       "roll a whole service out to another version",
+		ArgsUsage:   "SERVICE",
+		Description: "Example: vpctl shift depot-archive --to v2 --within 15m",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "to", Required: true, Usage: "the new `VERSION`, as its targets announce it"},
+			&cli.DurationFlag{Name: "within", Required: true, Usage: "the time allowed"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			service, err := oneArgument(c, "SERVICE")
+			if err != nil {
+				return err
+			}
+			body := wire.ShiftRequest{Service: service, To: c.String("to"), Within: c.Duration("within").String()}
+			return order(ctx, c, "/v1/shifts", body, "accepted; vpctl get rollout services/"+service+" tells how it goes")
+		},
+	}
+}
+
+// order sends an order and prints what it came to.
+func order(ctx context.Context, c *cli.Command, path string, body any, done string) error {
+	api, bounded, cancel := connect(ctx, c)
+	defer cancel()
+	var accepted wire.Accepted
+	if err := api.Post(bounded, path, client.Request{}, body, &accepted); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(c.Root().Writer, done)
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,8 @@
 	Log           logs.Levels `json:"log"`
 	// Interface names how operators speak: "own", the default, or "platform".
 	Interface string `json:"interface"`
+	// Metrics is where metrics are read, besides the API's address.
+	Metrics string `json:"metrics"`
 	// PeerPort replaces the port of the addresses in Peers, when these name
 	// another port of the control VMs; zero keeps them.
 	PeerPort int `json:"peerPort"`
@@ -119,6 +121,8 @@
 	Interface string `json:"interface"`
 	// Ready is where readiness is asked, besides the admin address.
 	Ready string `json:"ready"`
+	// Metrics is where metrics are read, besides the admin address.
+	Metrics string `json:"metrics"`
 	// Service is the service beside which calls through this node begin.
 	Service string `json:"service"`
 	// Upstream is the address of the upstream, if it is always the same; a node
@@ -183,6 +187,7 @@
 	checker.require(control.MaxChildren > 0, "maxChildren", "must be positive")
 	checker.require(control.SnapshotEvery > 0, "snapshotEvery", "must be positive")
 	checker.face(control.Interface)
+	checker.optional("metrics", control.Metrics)
 	checker.require(!control.Found || len(control.Peers) > 0, "found", "needs peers")
 	checker.positive("rollout.dwell", control.Rollout.Dwell)
 	checker.positive("rollout.watch", control.Rollout.Watch)
@@ -235,6 +240,7 @@
 	checker.positive("heartbeat", node.Heartbeat)
 	checker.face(node.Interface)
 	checker.optional("ready", node.Ready)
+	checker.optional("metrics", node.Metrics)
 	checker.optional("upstream", node.Upstream)
 	checker.require(node.Retry.Share >= 0 && node.Retry.Slack >= 0, "retry", "must not be negative")
 	checker.levels(node.Log)
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -45,6 +45,10 @@
 	switch {
 	case method == "POST" && path == "/v1/apply":
 		control.apply(ctx, request)
+	case method == "POST" && path == "/v1/replace":
+		control.replaceWhole(ctx, request)
+	case method == "POST" && path == "/v1/shifts":
+		control.startShift(ctx, request)
 	case method == "POST" && path == "/v1/rollouts":
 		control.startRollout(ctx, request)
 	case method == "POST" && path == "/v1/rollbacks":
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -148,10 +148,18 @@
 	if err != nil {
 		return errors.Join(&config.Error{Key: "api", Reason: err.Error()}, linkListener.Close())
 	}
+	apis := []net.Listener{apiListener}
+	if control.settings.Metrics != "" {
+		metrics, err := net.Listen("tcp", control.settings.Metrics)
+		if err != nil {
+			return errors.Join(&config.Error{Key: "metrics", Reason: err.Error()}, linkListener.Close(), apiListener.Close())
+		}
+		apis = append(apis, metrics)
+	}
 	if err := control.open(ctx); err != nil {
 		return errors.Join(err, linkListener.Close(), apiListener.Close())
 	}
-	return control.serve(ctx, linkListener, apiListener)
+	return control.serve(ctx, linkListener, apis)
 }
 
 func (control *Control) options() link.Options {
@@ -191,7 +199,7 @@
 	return nil
 }
 
-func (control *Control) serve(ctx context.Context, linkListener, apiListener net.Listener) error {
+func (control *Control) serve(ctx context.Context, linkListener net.Listener, apis []net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := tasks.New(8)
@@ -205,7 +213,9 @@
 	group.Go(ctx, "follow", control.follow)
 	group.Go(ctx, "join", control.join)
 	group.Go(ctx, "rollouts", control.rollouts.run)
-	group.Go(ctx, "api", func(context.Context) error { return server.Serve(apiListener) })
+	for _, listener := range apis {
+		group.Go(ctx, "api", func(context.Context) error { return server.Serve(listener) })
+	}
 	control.log.Info("started", "name", control.settings.Name, "id", control.replica.disk.Identity().ID, "api", control.settings.API)
 	var failure error
 	for failure == nil && ctx.Err() == nil {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -49,6 +49,9 @@
 // Rank sets the call's priority; 0 comes first.
 func (ticket *Ticket) Rank(priority int) { ticket.priority = priority }
 
+// Priority returns the call's rank.
+func (ticket *Ticket) Priority() int { return ticket.priority }
+
 // UsefulUntil sets when an answer loses most of its worth.
 func (ticket *Ticket) UsefulUntil(useful time.Time) { ticket.useful = useful }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,12 +1,19 @@
 // Package logs makes the structured logger of a process: one JSON object a
 // line, a name for each layer, and a level that can be set for each layer.
+//
+// Lines are queued and written by a goroutine of their own, so that a reader
+// who does not keep up never delays a decision. Both the queue and the rate of
+// lines are bounded; what is left out is counted and said.
 package logs
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -16,6 +23,9 @@
 // Layers names the layers that log.
 var Layers = []string{"raft", "api", "distr", "member", "rollout", "gate", "calls", "daemon"}
 
+// LayerCalls is the layer with a line for calls; its volume follows the load.
+const LayerCalls = "calls"
+
 // Levels gives the verbosity of each layer: 0 tells changes of state, 1 adds
 // connections, 2 adds messages. The empty name is the default.
 type Levels map[string]int
@@ -34,33 +44,132 @@
 	return nil
 }
 
-// Factory makes the loggers of one process.
+const (
+	// queueLength bounds the lines that wait to be written: about a second's.
+	queueLength = 1024
+	// callsPerSecond bounds the lines about calls; on-call engineers find a
+	// failed call by its id as long as fewer than this fail on one node.
+	callsPerSecond = 200
+	// flushTimeout bounds the writing of what is queued at the end.
+	flushTimeout = 500 * time.Millisecond
+)
+
+// Factory makes the loggers of one process. It is safe for concurrent use.
 type Factory struct {
-	levels Levels
-	lock   *sync.Mutex
-	out    io.Writer
+	levels  Levels
+	out     io.Writer
+	queue   chan string
+	dropped atomic.Uint64
+	ended   chan struct{}
+
+	// lock guards the fields below.
+	lock sync.Mutex
+	// second and calls count the lines about calls in the present second.
+	second int64
+	calls  int
+	closed bool
 }
 
-// New returns a factory that writes lines to out.
+// New returns a factory that writes lines to out. Close ends it.
 func New(out io.Writer, levels Levels) *Factory {
-	return &Factory{levels: levels, lock: &sync.Mutex{}, out: out}
+	factory := &Factory{levels: levels, out: out, queue: make(chan string, queueLength), ended: make(chan struct{})}
+	go factory.run()
+	return factory
 }
 
 // Discard returns a factory whose loggers write nothing.
 func Discard() *Factory { return New(io.Discard, nil) }
 
+// run writes what is queued until the queue is closed.
+func (factory *Factory) run() {
+	defer close(factory.ended)
+	for line := range factory.queue {
+		_, _ = io.WriteString(factory.out, line+"\n")
+		if dropped := factory.dropped.Swap(0); dropped > 0 {
+			_, _ = fmt.Fprintf(factory.out, `{"logger":"logs","ts":%q,"level":0,"msg":"lines dropped","count":%d}`+"\n",
+				time.Now().Format(time.RFC3339Nano), dropped)
+		}
+	}
+}
+
+// Close writes what is queued, but waits no longer than a bounded time.
+func (factory *Factory) Close() {
+	factory.lock.Lock()
+	if !factory.closed {
+		factory.closed = true
+		close(factory.queue)
+	}
+	factory.lock.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	select {
+	case <-factory.ended:
+	case <-ctx.Done():
+	}
+}
+
 // Layer returns the logger of a layer.
 func (factory *Factory) Layer(name string) logr.Logger {
 	level, ok := factory.levels[name]
 	if !ok {
 		level = factory.levels[""]
 	}
+	write := factory.write
+	if name == LayerCalls {
+		write = factory.writeCall
+	}
 	options := funcr.Options{LogTimestamp: true, TimestampFormat: time.RFC3339Nano, Verbosity: level}
-	return funcr.NewJSON(factory.write, options).WithName(name)
+	return funcr.NewJSON(write, options).WithName(name)
+}
+
+// Line is a line of a log as a reader finds it.
+type Line struct {
+	Logger  string
+	At      time.Time
+	Message string
+	// Fields has all values of the line by name.
+	Fields map[string]any
+}
+
+// Parse reads one line. It returns false for what is not one of this package.
+func Parse(text []byte) (Line, bool) {
+	var fields map[string]any
+	if json.Unmarshal(text, &fields) != nil {
+		return Line{}, false
+	}
+	logger, _ := fields["logger"].(string)
+	stamp, _ := fields["ts"].(string)
+	message, _ := fields["msg"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	return Line{Logger: logger, At: at, Message: message, Fields: fields}, err == nil && logger != ""
+}
+
+// writeCall lets a bounded number of lines through each second.
+func (factory *Factory) writeCall(line string) {
+	second := time.Now().Unix()
+	factory.lock.Lock()
+	if factory.second != second {
+		factory.second, factory.calls = second, 0
+	}
+	factory.calls++
+	over := factory.calls > callsPerSecond
+	factory.lock.Unlock()
+	if over {
+		factory.dropped.Add(1)
+		return
+	}
+	factory.write(line)
 }
 
 func (factory *Factory) write(line string) {
 	factory.lock.Lock()
 	defer factory.lock.Unlock()
-	_, _ = fmt.Fprintln(factory.out, line)
+	if factory.closed {
+		return
+	}
+	select {
+	case factory.queue <- line:
+	default:
+		factory.dropped.Add(1)
+	}
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -67,7 +69,7 @@
 		node.refuseEarly(request, ask, fasthttp.StatusServiceUnavailable, "no configuration yet")
 		return nil, 0, false
 	}
-	route, ok := config.Match(string(request.Request.Header.Host()), rawPath(request))
+	route, ok := config.Match(hostOf(request), rawPath(request))
 	if !ok {
 		node.refuseEarly(request, ask, fasthttp.StatusNotFound, "no route")
 		return nil, 0, false
@@ -119,6 +121,15 @@
 	return nil
 }
 
+// hostOf returns the host that a request is for, without a port.
+func hostOf(request *fasthttp.RequestCtx) string {
+	host := strings.ToLower(string(request.Request.Header.Host()))
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
 // rawPath returns the path as it was sent. The library's own accessor would
 // rewrite the request's target when it is passed on.
 func rawPath(request *fasthttp.RequestCtx) string {
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -1,15 +1,45 @@
 package node
 
-import "context"
+import (
+	"context"
+	"errors"
 
-// explain writes one line about a call that ended without an upstream's good
-// answer, or that needed more than one try.
+	"github.com/vanillapulley/vanillapulley/internal/limit"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+)
+
+// sampleEvery is how many ordinary calls there are to one that is logged; the
+// lines show what usual calls look like.
+const sampleEvery = 256
+
+// explain writes one line about a call: each that did not go the usual way,
+// and a sample of the others.
 func (node *Node) explain(ctx context.Context, call *call, ended result) {
-	if call.tries <= 1 && call.refusals == 0 && ended.outcome == "ran" && ended.learned == 0 {
+	usual := call.tries <= 1 && call.refusals == 0 && ended.outcome == proxy.OutcomeRan && ended.learned == picker.ResultGood
+	if usual && node.usualCalls.Add(1)%sampleEvery != 1 {
 		return
 	}
+	deadline, _ := ctx.Deadline()
+	left := errors.Is(context.Cause(ctx), proxy.ErrCallerLeft)
+	fresh := call.side.rollout != nil && call.side.fresh
 	node.callLog.Info("call", "id", call.id, "route", call.route.Name(), "service", call.service,
 		"outcome", string(ended.outcome), "status", call.request.Response.StatusCode(), "reason", ended.reason,
-		"tried", call.tried, "tries", call.tries, "refusals", call.refusals,
-		"took", node.now().Sub(call.started).String(), "config", call.config.Version(), "left", ctx.Err() != nil, "from", call.request.RemoteAddr().String(), "priority", call.route.Priority(), "asked", string(call.request.Request.Header.Peek("Vanillapulley-Deadline-Ms")))
+		"tries", call.tries, "refusals", call.refusals, "failedAt", call.tried, "fullAt", call.full,
+		"took", node.now().Sub(call.started).String(), "allowed", deadline.Sub(call.started).String(),
+		"retryAfter", call.retryAfter.String(), "callerLeft", left, "onNewVersion", fresh,
+		"config", call.config.Version(), "membership", node.membership.Load(), "usual", usual)
+}
+
+// explainRefusal tells why this gate turned a call away, and on what grounds.
+func (gate *gate) explainRefusal(id string, reason string, held bool, ticket *limit.Ticket) {
+	load := gate.load()
+	gate.node.callLog.Info("refused", "id", id, "reason", reason, "upstreamKnown", held, "priority", ticket.Priority(),
+		"inFlight", load.InFlight, "queued", load.Queued, "meanService", load.Service.String())
+}
+
+// explainLost tells that an upstream gave no answer to a call that it may have
+// run.
+func (gate *gate) explainLost(id, upstream, reason string) {
+	gate.node.callLog.Info("no whole answer", "id", id, "upstream", upstream, "reason", reason)
 }
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -295,6 +295,7 @@
 			reason = string(limit.ReasonDraining)
 		}
 		gate.lock.Unlock()
+		gate.explainRefusal(string(request.Header.Peek(proxy.HeaderRequest)), reason, held, ticket)
 		return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reason}
 	}
 	verdict, reason := gate.limit.Arrive(gate.node.now(), ticket)
@@ -309,6 +310,7 @@
 	if reason == "" {
 		return target, nil
 	}
+	gate.explainRefusal(string(request.Header.Peek(proxy.HeaderRequest)), string(reason), held, ticket)
 	return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: string(reason), room: room}
 }
 
@@ -377,7 +379,7 @@
 // conclude marks the answer with what is certain.
 func (gate *gate) conclude(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, err error) proxy.Outcome {
 	if err != nil {
-		return gate.concludeLost(ctx, request, err)
+		return gate.concludeLost(ctx, target, request, err)
 	}
 	header := &request.Response.Header
 	header.ResetConnectionClose()
@@ -392,7 +394,7 @@
 		header.Set(proxy.HeaderTarget, gate.node.settings.Name)
 		return proxy.OutcomeNotRun
 	case told.Unproven:
-		return gate.unknown(ctx, request, "the upstream's answer is not a genuine one")
+		return gate.unknown(ctx, target, request, "the upstream's answer is not a genuine one")
 	}
 	header.Set(proxy.HeaderOutcome, string(proxy.OutcomeRan))
 	header.Set(proxy.HeaderVersion, target.Version)
@@ -400,7 +402,7 @@
 	return proxy.OutcomeRan
 }
 
-func (gate *gate) concludeLost(ctx context.Context, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+func (gate *gate) concludeLost(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, err error) proxy.Outcome {
 	var exchange *proxy.ExchangeError
 	if errors.As(err, &exchange) && !exchange.Sent {
 		gate.refuse(request, refusal{status: fasthttp.StatusServiceUnavailable, reason: "the upstream cannot be reached"})
@@ -409,16 +411,17 @@
 		}
 		return proxy.OutcomeNotRun
 	}
-	return gate.unknown(ctx, request, "the upstream gave no whole answer: "+err.Error())
+	return gate.unknown(ctx, target, request, "the upstream gave no whole answer: "+err.Error())
 }
 
 // unknown answers a call that may have run.
-func (gate *gate) unknown(ctx context.Context, request *fasthttp.RequestCtx, reason string) proxy.Outcome {
+func (gate *gate) unknown(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, reason string) proxy.Outcome {
 	status := fasthttp.StatusBadGateway
 	if ctx.Err() != nil {
 		status = fasthttp.StatusGatewayTimeout
 	}
 	gate.node.stats.Count("vp_gate_lost_answers_total", 1)
+	gate.explainLost(string(request.Request.Header.Peek(proxy.HeaderRequest)), target.ID, reason)
 	own{}.Final(&request.Response, Final{Status: status, Outcome: proxy.OutcomeUnknown, Reason: reason})
 	request.Response.Header.Set(proxy.HeaderTarget, gate.node.settings.Name)
 	return proxy.OutcomeUnknown
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,10 @@
 	keyed   bool
 	extra   func(request *fasthttp.RequestCtx) bool
 	callLog logr.Logger
+	// usualCalls counts the calls of which only a sample is logged; membership
+	// is the version of the membership that targets are chosen by.
+	usualCalls atomic.Uint64
+	membership atomic.Uint64
 	// calls runs the handlers of calls.
 	calls     *ants.Pool
 	noticeTTL time.Duration
@@ -190,7 +194,7 @@
 		traffic:     &link.Traffic{},
 		calls:       calls,
 		dialect:     deps.Dialect,
-		callLog:     deps.Logs.Layer("calls"),
+		callLog:     deps.Logs.Layer(logs.LayerCalls),
 		noticeTTL:   noticeBeats * time.Duration(deps.Settings.Heartbeat),
 		random:      random,
 		picker:      picker.New(deps.Settings.Zone, random),
@@ -236,8 +240,9 @@
 	callers net.Listener
 	gate    net.Listener
 	admin   net.Listener
-	// ready is nil when readiness is asked at the admin address only.
-	ready net.Listener
+	// ready and metrics are nil when both are asked at the admin address only.
+	ready   net.Listener
+	metrics net.Listener
 }
 
 func (node *Node) listen() (listeners, error) {
@@ -260,6 +265,9 @@
 	if node.settings.Ready != "" {
 		opened.ready = open("ready", node.settings.Ready)
 	}
+	if node.settings.Metrics != "" {
+		opened.metrics = open("metrics", node.settings.Metrics)
+	}
 	return opened, err
 }
 
@@ -287,8 +295,10 @@
 	group.Go(background, "callers", func(ctx context.Context) error { return callers.Serve(ctx, opened.callers) })
 	group.Go(background, "gate", func(ctx context.Context) error { return gates.Serve(ctx, opened.gate) })
 	group.Go(background, "admin", func(context.Context) error { return admin.Serve(opened.admin) })
-	if opened.ready != nil {
-		group.Go(background, "ready", func(context.Context) error { return admin.Serve(opened.ready) })
+	for name, listener := range map[string]net.Listener{"ready": opened.ready, "metrics": opened.metrics} {
+		if listener != nil {
+			group.Go(background, name, func(context.Context) error { return admin.Serve(listener) })
+		}
 	}
 	node.announce()
 	node.log.Info("started", "name", node.settings.Name, "callers", node.settings.Callers, "incarnation", node.incarnation)
@@ -440,6 +450,7 @@
 		return
 	}
 	node.tableVersion = version
+	node.membership.Store(node.tableVersion)
 	node.claims.setNodes(records)
 	node.followRoots(records)
 	var targets []picker.Target
--- /dev/null
+++ b/internal/trail/trail_test.go
@@ -0,0 +1,51 @@
+package trail
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// read follows a value through the logs of testdata.
+func read(t *testing.T, value string) *Trail {
+	trail := New(value)
+	files, err := filepath.Glob("testdata/*.log")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, name := range files {
+		file, err := os.Open(name)
+		require.NoError(t, err)
+		require.NoError(t, trail.Read(strings.TrimSuffix(filepath.Base(name), ".log"), file))
+		require.NoError(t, file.Close())
+	}
+	return trail
+}
+
+func TestACallIsFollowedThroughAllProcesses(t *testing.T) {
+	trail := read(t, "68db816ae2a0e0b1")
+	var got []string
+	for _, step := range trail.Steps() {
+		got = append(got, step.Process+" "+step.Line.Message)
+	}
+	require.Equal(t, []string{"n2 refused", "n3 no whole answer", "n1 call"}, got)
+	require.Contains(t, trail.Steps()[2].Details(), "fullAt=[n2]")
+	require.Equal(t, 2, trail.Skipped(), "lines of others are counted, not fatal")
+}
+
+func TestABeliefIsFollowed(t *testing.T) {
+	require.Len(t, read(t, "i-4c").Steps(), 2, "an upstream by its id")
+	require.Len(t, read(t, "n2").Steps(), 1, "an entry of a list")
+	require.Len(t, read(t, "17").Steps(), 1, "a number as it is written")
+	require.Empty(t, read(t, "68db").Steps(), "a part of a value is another value")
+}
+
+func TestALineWithoutEndIsSkipped(t *testing.T) {
+	trail := New("x")
+	long := `{"logger":"gate","id":"x","more":"` + strings.Repeat("y", 2*maxLine) + `"}` + "\n"
+	require.NoError(t, trail.Read("n1", strings.NewReader(long)))
+	require.Empty(t, trail.Steps())
+	require.Equal(t, 1, trail.Skipped())
+}
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -1,6 +1,10 @@
 package wire
 
-import "time"
+import (
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
 
 // ApplyRequest is the body of POST /v1/apply: a set of writes that is
 // accepted or refused whole. The revision of each resource is the one the
@@ -24,6 +28,47 @@
 	By    time.Time `json:"by"`
 }
 
+// ReplaceRequest is the body of POST /v1/replace: all services and routes.
+// Number is the operators' own and rises; Base is the number that this one
+// builds on, zero for the first. Times are Go durations, sizes are in bytes.
+type ReplaceRequest struct {
+	Number    uint64     `json:"number"`
+	Base      uint64     `json:"base,omitempty"`
+	Resources []Resource `json:"resources"`
+	Limits    LimitsSpec `json:"limits,omitzero"`
+}
+
+// LimitsSpec bounds what callers may send; what is left out is left to the
+// nodes.
+type LimitsSpec struct {
+	MaxHeader     int    `json:"maxHeaderBytes,omitempty"`
+	MaxBody       int    `json:"maxBodyBytes,omitempty"`
+	HeaderTimeout string `json:"headerTimeout,omitempty"`
+	IdleTimeout   string `json:"idleTimeout,omitempty"`
+}
+
+// Domain converts the limits.
+func (spec LimitsSpec) Domain() (rsrc.Limits, error) {
+	edition, err := EditionSpec{
+		Number: 1, MaxHeader: spec.MaxHeader, MaxBody: spec.MaxBody,
+		HeaderTimeout: spec.HeaderTimeout, IdleTimeout: spec.IdleTimeout,
+	}.domain()
+	return edition.Limits(), err
+}
+
+// ShiftRequest is the body of POST /v1/shifts: the rollout of a whole service.
+// Within is a Go duration.
+type ShiftRequest struct {
+	Service string `json:"service"`
+	To      string `json:"to"`
+	Within  string `json:"within"`
+}
+
+// Accepted answers an order that was accepted.
+type Accepted struct {
+	Code Code `json:"code"`
+}
+
 // RollbackRequest is the body of POST /v1/rollbacks.
 type RollbackRequest struct {
 	Route string `json:"route"`
