A disk that refuses writes no longer ends its control VM

Ruled out: going on with the log as it is: after a refused write its end is not known. Tests: disk (a refused write loses nothing), ctrl (stands by and comes back; the first voters make the same group).

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -216,7 +216,7 @@
 	for _, listener := range apis {
 		group.Go(ctx, "api", func(context.Context) error { return server.Serve(listener) })
 	}
-	control.log.Info("started", "name", control.settings.Name, "id", control.replica.disk.Identity().ID, "api", control.settings.API)
+	control.log.Info("started", "name", control.settings.Name, "id", control.replica.id, "api", control.settings.API)
 	var failure error
 	for failure == nil && ctx.Err() == nil {
 		select {
@@ -336,7 +336,7 @@
 			return
 		}
 		asked++
-		self := wire.Member{ID: control.replica.disk.Identity().ID, Name: control.settings.Name, Address: control.settings.Link}
+		self := wire.Member{ID: control.replica.id, Name: control.settings.Name, Address: control.settings.Link}
 		var answer wire.JoinAnswer
 		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
 		defer cancel()
@@ -371,7 +371,7 @@
 }
 
 func (control *Control) isMember() bool {
-	id := control.replica.disk.Identity().ID
+	id := control.replica.id
 	for _, member := range control.replica.view.Load().members {
 		if member.ID == id && member.Address == control.settings.Link {
 			return true
--- /dev/null
+++ b/internal/ctrl/replica_test.go
@@ -0,0 +1,112 @@
+package ctrl
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/config"
+	"github.com/vanillapulley/vanillapulley/internal/disk"
+	"github.com/vanillapulley/vanillapulley/internal/link"
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+func newTestReplica(t *testing.T) *replica {
+	settings := config.Control{Name: "c1", Link: "127.0.0.1:1", Data: filepath.Join(t.TempDir(), "data"), Replicas: 1, SnapshotEvery: 1000}
+	require.NoError(t, Init(settings))
+	pool, err := ants.NewPool(8)
+	require.NoError(t, err)
+	t.Cleanup(pool.Release)
+	caller := link.NewCaller(context.Background(), link.Options{Traffic: &link.Traffic{}, Pool: pool})
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+	deps := Deps{Settings: settings, Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random}
+	held, err := openReplica(deps, caller, func(*rsrc.Config) {})
+	require.NoError(t, err)
+	return held
+}
+
+// lead runs a replica's loop and returns what ends it.
+func lead(t *testing.T, held *replica) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- held.loop(ctx) }()
+	require.Eventually(t, held.leads, 10*time.Second, time.Millisecond)
+	return func() {
+		cancel()
+		require.NoError(t, <-ended)
+	}
+}
+
+// TestAReplicaStandsByAndComesBack opens the folder again in the same process:
+// what was accepted is there, and new orders are taken.
+func TestAReplicaStandsByAndComesBack(t *testing.T) {
+	held := newTestReplica(t)
+	stop := lead(t, held)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	put := func(name string) wire.Result {
+		result, err := held.Propose(ctx, wire.Command{RequestID: name, Put: []wire.Resource{wire.FromResource(rsrc.NewService(name, ""))}})
+		require.NoError(t, err)
+		return result
+	}
+	require.Equal(t, wire.CodeOK, put("before").Code)
+	stop()
+
+	waiting := &proposal{answer: make(chan proposalAnswer, 1)}
+	held.inbox <- event{propose: waiting}
+	require.NoError(t, held.reopen(ctx))
+	require.ErrorIs(t, (<-waiting.answer).err, ErrUnavailable, "nobody is left without an answer")
+
+	stop = lead(t, held)
+	defer stop()
+	require.Equal(t, wire.CodeOK, put("after").Code)
+	fresh, err := held.Fresh(ctx)
+	require.NoError(t, err)
+	for _, name := range []string{"before", "after"} {
+		_, ok := fresh.Service(name)
+		require.True(t, ok, name)
+	}
+}
+
+// TestTheFirstVotersMakeTheSameGroup has each of three control VMs make its
+// folder by itself; a fourth, and one that lost its disk, are to join.
+func TestTheFirstVotersMakeTheSameGroup(t *testing.T) {
+	peers := []string{"10.0.0.3:7", "10.0.0.1:7", "10.0.0.2:7"}
+	ids := map[string]bool{}
+	var first wire.Snapshot
+	for i, address := range append(peers, "10.0.0.4:7") {
+		settings := config.Control{Name: address[:8], Link: address, Data: filepath.Join(t.TempDir(), "data"), Peers: peers, Found: true}
+		require.NoError(t, create(settings))
+		folder, durable, err := disk.Open(settings.Data)
+		require.NoError(t, err)
+		ids[folder.Identity().ID] = true
+		require.NoError(t, folder.Close())
+		if i == len(peers) {
+			require.Empty(t, durable.Entries, "not one of the first")
+			continue
+		}
+		require.Len(t, durable.Entries, 1)
+		members := wire.FromMembers(durable.Entries[0].Members)
+		if i == 0 {
+			first.Members = members
+		}
+		require.Equal(t, first.Members, members)
+	}
+	require.Len(t, ids, 4)
+
+	wiped := config.Control{Name: "c", Link: peers[0], Data: filepath.Join(t.TempDir(), "data"), Peers: peers}
+	require.NoError(t, create(wiped))
+	folder, durable, err := disk.Open(wiped.Data)
+	require.NoError(t, err)
+	require.Empty(t, durable.Entries)
+	require.False(t, ids[folder.Identity().ID], "a lost disk means a new identity")
+	require.NoError(t, folder.Close())
+}
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -29,6 +29,19 @@
 	fileMode   = 0o644
 )
 
+// WriteError reports that the disk did not take what had to be kept: it is full
+// or failing. What is on it is not known until the folder is opened again.
+type WriteError struct {
+	File string
+	Err  error
+}
+
+// Error names the file and the cause.
+func (err *WriteError) Error() string { return "writing " + err.File + ": " + err.Err.Error() }
+
+// Unwrap returns the cause.
+func (err *WriteError) Unwrap() error { return err.Err }
+
 // Identity tells whose disk this is. It is made with the data folder and
 // never changes.
 type Identity struct {
@@ -233,18 +246,18 @@
 	return buffer
 }
 
-// Append writes a vote and entries with one write and one sync. After an
-// error the log's state is unknown and the process must stop.
+// Append writes a vote and entries with one write and one sync. After a
+// WriteError the log's state is unknown and the folder must be opened again.
 func (disk *Disk) Append(hard *raft.HardState, entries []raft.Entry) error {
 	buffer := encodeRecords(hard, entries)
 	if len(buffer) == 0 {
 		return nil
 	}
 	if _, err := disk.log.Write(buffer); err != nil {
-		return trace.ConvertSystemError(err)
+		return &WriteError{File: logFile, Err: err}
 	}
 	if err := unix.Fdatasync(int(disk.log.Fd())); err != nil {
-		return trace.ConvertSystemError(err)
+		return &WriteError{File: logFile, Err: err}
 	}
 	disk.size += int64(len(buffer))
 	return nil
@@ -255,17 +268,20 @@
 func (disk *Disk) SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, rest []raft.Entry) error {
 	payload := wire.Must(wire.FromSnapshot(snapshot))
 	if err := writeSynced(disk.folder, snapshotFile, appendRecord(nil, payload)); err != nil {
-		return err
+		return &WriteError{File: snapshotFile, Err: err}
 	}
 	records := encodeRecords(&hard, rest)
 	if err := writeSynced(disk.folder, logFile, records); err != nil {
-		return err
+		return &WriteError{File: logFile, Err: err}
 	}
 	if err := disk.log.Close(); err != nil {
-		return trace.ConvertSystemError(err)
+		return &WriteError{File: logFile, Err: err}
 	}
 	disk.size = int64(len(records))
-	return disk.openLog()
+	if err := disk.openLog(); err != nil {
+		return &WriteError{File: logFile, Err: err}
+	}
+	return nil
 }
 
 // Close lets go of the folder.
--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -171,3 +171,24 @@
 		})
 	}
 }
+
+// TestARefusedWriteLosesNothing has the disk refuse an entry: the folder opens
+// again with all that was kept before.
+func TestARefusedWriteLosesNothing(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, Create(folder, Identity{ID: "c1-x", Name: "c1"}, raft.Bootstrap(raft.Member{ID: "c1-x", Name: "c1"})))
+	disk, _, err := Open(folder)
+	require.NoError(t, err)
+	require.NoError(t, disk.Append(nil, []raft.Entry{{Index: 2, Term: 1, Data: []byte(`"kept"`)}}))
+	require.NoError(t, disk.log.Close())
+	err = disk.Append(nil, []raft.Entry{{Index: 3, Term: 1, Data: []byte(`"refused"`)}})
+	var refused *WriteError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, logFile, refused.File)
+	require.Error(t, disk.Close(), "the log is closed already; the lock is released all the same")
+	disk, durable, err := Open(folder)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, disk.Close()) }()
+	require.Len(t, durable.Entries, 2)
+	require.Equal(t, `"kept"`, string(durable.Entries[1].Data))
+}
