Recovery: the longer log stands in, dialing gives up early, joiners are patient

Ruled out: the quorum reads of joiners (under 20 ms). Change: a voter that refuses a candidate for its shorter log seeks votes itself within a heartbeat; a dial ends after 300 ms; an answered refusal is followed by the next question after 100 to 300 ms, without backoff, and peers are asked after six of them.

--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -11,6 +11,10 @@
 // maxRedirects bounds the list of other parents in a refusal.
 const maxRedirects = 4
 
+// patienceWithRoots is how many refusals a node takes before it turns to its
+// peers. Control VMs that have just started refuse until they found a leader.
+const patienceWithRoots = 6
+
 // joinRetryAfter is how long a root without a token for a joiner sends it away.
 const joinRetryAfter = 200 * time.Millisecond
 
@@ -22,9 +26,12 @@
 	trying LinkID
 	// candidates are to be tried before asking a control VM again.
 	candidates []Address
-	failures   int
-	nextTry    time.Time
-	nextPeer   time.Time
+	// failures counts the tries since the last parent, refused those of them
+	// that a control VM answered.
+	failures int
+	refused  int
+	nextTry  time.Time
+	nextPeer time.Time
 }
 
 func newFinder(now time.Time) finder {
@@ -37,6 +44,10 @@
 	finder.nextTry = now.Add(pause)
 }
 
+// unanswered counts the tries that nobody answered. Redirects are answered,
+// too, and are no tries of their own.
+func (finder *finder) unanswered() int { return max(0, finder.failures-finder.refused) }
+
 func (finder *finder) ended(id LinkID) {
 	if finder.trying == id {
 		finder.trying = 0
@@ -88,7 +99,7 @@
 }
 
 func (core *Core) backoff() time.Duration {
-	mean := core.settings.Timing.Retry << min(core.finds.failures, 6)
+	mean := core.settings.Timing.Retry << min(core.finds.unanswered(), 6)
 	return core.jitter(min(mean, core.settings.Timing.RetryMax))
 }
 
@@ -102,7 +113,7 @@
 	}
 	core.finds.failures++
 	peers := core.peerAddresses()
-	usePeer := core.finds.failures > 2 && core.finds.failures%2 == 0 && !core.settings.Root
+	usePeer := (core.finds.unanswered() > 2 || core.finds.refused > patienceWithRoots) && core.finds.failures%2 == 0 && !core.settings.Root
 	if usePeer && len(peers) > 0 {
 		return peers[core.random.IntN(len(peers))], true
 	}
@@ -357,7 +368,7 @@
 		return
 	}
 	core.parent, from.role = from, RoleParent
-	core.finds.failures = 0
+	core.finds.failures, core.finds.refused = 0, 0
 	core.finds.candidates = nil
 	core.setPath(welcome.Path)
 	core.lastReport = Report{}
@@ -385,6 +396,7 @@
 
 func (core *Core) sentAway(now time.Time, from *link, welcome Welcome) {
 	core.drop(from)
+	core.finds.refused++
 	if welcome.RetryAfter > 0 {
 		core.finds.nextTry = now.Add(core.jitter(welcome.RetryAfter))
 		return
@@ -392,7 +404,11 @@
 	if len(welcome.Redirect) > 0 {
 		core.finds.candidates = welcome.Redirect
 		core.finds.nextTry = now
+		return
 	}
+	// It answered, so the next one is asked without the backoff that failed
+	// connections bring.
+	core.finds.nextTry = now.Add(core.jitter(joinRetryAfter))
 }
 
 // learnFloor takes a confirmed floor at once, and an unconfirmed one when
--- /dev/null
+++ b/internal/distr/join_test.go
@@ -0,0 +1,69 @@
+package distr
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// TestAStaleRootSendsItsChildrenAway cuts a control VM off from the source: its
+// child must find another root and not wait for news that cannot come; a root
+// that has just started is asked again before any peer is.
+func TestAStaleRootSendsItsChildrenAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := Settings{Name: "c1", Root: true, MaxChildren: 4, JoinsPerSecond: 100, Timing: DefaultTiming(), Members: member.DefaultTiming()}
+	root := New(settings, rand.New(rand.NewPCG(1, 1)), now)
+	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{rsrc.NewService("s", "")}})
+	require.NoError(t, err)
+	root.Publish(config)
+	hello := func(id LinkID) []Action {
+		root.Accepted(id)
+		root.Receive(now, id, Message{Hello: &Hello{Name: "n1", Version: 1}})
+		return root.Take()
+	}
+	hello(1)
+	require.Equal(t, 1, root.Children())
+	root.SetStale(true)
+	require.Zero(t, root.Children())
+	bye := slices.ContainsFunc(root.Take(), func(action Action) bool { return action.Send != nil && action.Send.Bye })
+	require.True(t, bye, "the child need not wait for silence")
+	for _, action := range hello(2) {
+		if action.Send != nil && action.Send.Welcome != nil {
+			require.False(t, action.Send.Welcome.Accepted)
+			require.Positive(t, action.Send.Welcome.RetryAfter)
+		}
+	}
+	require.Zero(t, root.Children())
+	root.SetStale(false)
+	hello(3)
+	require.Equal(t, 1, root.Children())
+}
+
+// TestAJoinerIsPatientWithRoots is refused again and again by control VMs that
+// have no leader yet: the pauses stay short, and peers are asked only later.
+func TestAJoinerIsPatientWithRoots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := Settings{Name: "n1", Parents: []string{"root"}, Seeds: []string{"peer"}, MaxChildren: 4, Timing: DefaultTiming(), Members: member.DefaultTiming()}
+	core := New(settings, rand.New(rand.NewPCG(1, 1)), now)
+	begun, asked := now, 0
+	for id := LinkID(1); asked < patienceWithRoots; now = now.Add(10 * time.Millisecond) {
+		core.Tick(now)
+		for _, action := range core.Take() {
+			if action.Dial == "" {
+				continue
+			}
+			require.Equal(t, "root", action.Dial)
+			asked++
+			core.LinkUp(now, id, action.Dial)
+			core.Receive(now, id, Message{Welcome: &Welcome{Name: "c1", RetryAfter: joinRetryAfter}})
+			id++
+		}
+	}
+	require.Less(t, now.Sub(begun), patienceWithRoots*2*joinRetryAfter)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,7 +21,10 @@
 const (
 	queueLength  = 1024
 	writeTimeout = 5 * time.Second
-	dialTimeout  = time.Second
+	// dialTimeout is many round trips between regions. A longer one would wait
+	// for the system's second try, a second later, when the first packet went
+	// to a VM that was still starting.
+	dialTimeout = 300 * time.Millisecond
 	// silence ends a connection whose sent bytes are not acknowledged; it is
 	// below the longest silence between nodes.
 	silence = time.Second
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -261,3 +262,29 @@
 		bench.run(20 * time.Millisecond)
 	}
 }
+
+// TestTheLongerLogStandsIn has a voter refuse a candidate that lacks an entry,
+// as after a loss of power of all: it seeks votes itself within a heartbeat
+// instead of waiting for its own time to come.
+func TestTheLongerLogStandsIn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	durable := Bootstrap(members...)
+	durable.Entries = append(durable.Entries, Entry{Index: 2, Term: 1})
+	core, err := New("c", durable, DefaultTiming(), rand.New(rand.NewPCG(1, 1)), now)
+	require.NoError(t, err)
+	require.NoError(t, core.Step(now, Message{Kind: MessagePreVote, From: "a", To: "c", Term: 2, Index: 1, LogTerm: 1}))
+	ready := core.Ready()
+	require.Len(t, ready.Messages, 1)
+	require.True(t, ready.Messages[0].Reject)
+	core.Done(now, ready)
+	now = now.Add(DefaultTiming().Heartbeat)
+	core.Tick(now)
+	asked := 0
+	for _, message := range core.Ready().Messages {
+		if message.Kind == MessagePreVote {
+			asked++
+		}
+	}
+	require.Equal(t, 2, asked)
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -95,6 +95,7 @@
 	if !free || !core.upToDate(message) {
 		reply.Reject, reply.Term = true, core.hard.Term
 		core.send(reply)
+		core.standIn(now, message)
 		return
 	}
 	if message.Kind == MessageVote {
@@ -104,6 +105,15 @@
 	core.send(reply)
 }
 
+// standIn has a voter that refuses a candidate for its shorter log seek votes
+// itself soon: nobody who holds what it holds has done so yet.
+func (core *Core) standIn(now time.Time, message Message) {
+	soon := now.Add(time.Duration(core.random.Int64N(int64(core.timing.Heartbeat))))
+	if core.role == RoleFollower && !core.upToDate(message) && soon.Before(core.electionDue) {
+		core.electionDue = soon
+	}
+}
+
 // upToDate reports whether the candidate's log holds at least all that this
 // replica's log may have committed.
 func (core *Core) upToDate(message Message) bool {
