The patience of a joiner is checked by what it asks the roots

The bound on the time stays as it was; ruled out: a wrong turn in the code (the roots get all six questions within the bound).

--- a/internal/distr/join_test.go
+++ b/internal/distr/join_test.go
@@ -55,10 +55,10 @@
 	for id := LinkID(1); asked < patienceWithRoots; now = now.Add(10 * time.Millisecond) {
 		core.Tick(now)
 		for _, action := range core.Take() {
-			if action.Dial == "" {
+			if action.Dial != "root" {
+				// Peers are asked beside it what they run, not to be the parent.
 				continue
 			}
-			require.Equal(t, "root", action.Dial)
 			asked++
 			core.LinkUp(now, id, action.Dial)
 			core.Receive(now, id, Message{Welcome: &Welcome{Name: "c1", RetryAfter: joinRetryAfter}})
