Rollouts of whole services on a model: a share of 8% at once, suspicion holds the jump

Tried: dwell of a 10th, 14th, 16th, watch of a 5th to 7th, shares of 80 to 100 permille. Change: the first share is 8%; evidence of 1 in 25 against a version keeps it from all traffic without being cleared; 1 in 250 rolls it back (0.1% elsewhere).

--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -59,8 +59,8 @@
 
 // Parts of the time allowed for the rollout of a whole service.
 const (
-	withinDwell = 10
-	withinWatch = 5
+	withinDwell = 14
+	withinWatch = 6
 	// reserve is kept between the last decision and the deadline.
 	reserve = time.Second
 	// coldStart is how long new targets are slow.
@@ -92,6 +92,23 @@
 // time before it is cleared.
 const CallsAtRisk = 60
 
+// alarm is the chance of calling a good version bad that a rollout accepts.
+func (timing Timing) alarm() float64 {
+	if timing.Whole {
+		return wholeAlarm
+	}
+	return falseAlarm
+}
+
+const (
+	// wholeAlarm is above the usual chance: within seconds a bad version gets
+	// more calls than it may while more evidence is awaited.
+	wholeAlarm = 0.004
+	// wholeSuspicion is the chance of evidence against a good version that
+	// keeps it from all traffic without being cleared.
+	wholeSuspicion = 0.04
+)
+
 // usualRamp lists the shares after clearance, in permille.
 var usualRamp = []int{CanaryShare, 250, 500, rsrc.FullShare}
 
@@ -175,7 +192,7 @@
 	if last.Share != controller.share || last.State != controller.clearing {
 		controller.newStep(now, last)
 	}
-	if cause, bad := controller.evidence.Bad(); bad {
+	if cause, bad := controller.evidence.BadAt(controller.timing.alarm()); bad {
 		return step(now, rsrc.StateRolledBack, 0, cause), true
 	}
 	switch last.State {
@@ -260,17 +277,18 @@
 		return rsrc.Step{}, false
 	}
 	share := controller.firstShare()
-	if controller.timing.Whole {
-		share = min(share, wholeShare)
-	}
 	return step(now, rsrc.StateCanary, share, controller.plan(now, input, share)), true
 }
 
 // firstShare bounds the calls at risk within the reaction time.
 func (controller *Controller) firstShare() int {
 	perReaction := controller.rate * controller.timing.Reaction.Seconds()
-	if perReaction*CanaryShare/rsrc.FullShare <= CallsAtRisk {
-		return CanaryShare
+	first := CanaryShare
+	if controller.timing.Whole {
+		first = wholeShare
+	}
+	if perReaction*float64(first)/rsrc.FullShare <= CallsAtRisk {
+		return first
 	}
 	return max(1, int(CallsAtRisk/perReaction*rsrc.FullShare))
 }
@@ -355,6 +373,11 @@
 	if controller.timing.Whole {
 		ahead = controller.timing.Watch + reserve
 	}
+	if controller.timing.Whole {
+		if _, suspected := controller.evidence.BadAt(wholeSuspicion); suspected {
+			return false
+		}
+	}
 	return controller.weight.Hurry && !now.Before(input.Rollout.By().Add(-ahead))
 }
 
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -129,9 +129,14 @@
 	evidence.slow.restart()
 }
 
-// Bad reports whether the new version is worse, and how.
-func (evidence *Evidence) Bad() (string, bool) {
-	threshold := 2 / falseAlarm
+// Bad reports whether the new version is worse, and how, with the usual chance
+// of a false alarm.
+func (evidence *Evidence) Bad() (string, bool) { return evidence.BadAt(falseAlarm) }
+
+// BadAt reports whether the new version is worse, and how, with a chance of at
+// most level that this is ever said of one that is not.
+func (evidence *Evidence) BadAt(level float64) (string, bool) {
+	threshold := 2 / level
 	if capital := evidence.errors.capital(); capital >= threshold {
 		return fmt.Sprintf("more errors than the old version (evidence %.0f to 1)", min(capital, 1e9)), true
 	}
