--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,7 +39,6 @@
 const (
 	poolSize    = 256
 	maxLaterals = 2
-	maxBody     = 64 << 20
 	// bookkeeping is how often targets, leases and deadlines are looked at.
 	bookkeeping = 50 * time.Millisecond
 	// callPoolSize bounds the calls in progress on one node, as caller's node
@@ -50,36 +49,6 @@
 	noticeBeats = 3
 )
 
-// Timing of the connections to other nodes and to the upstream.
-const (
-	// gateDial is many round trips between availability zones, and short enough
-	// for another try within a call's time.
-	gateDial = 250 * time.Millisecond
-	// targetDial covers a target that is busy; it is on the same VM.
-	targetDial = 500 * time.Millisecond
-	// callSilence finds a connection that went silent within the time in which
-	// a node still counts as connected.
-	callSilence = time.Second
-	// gateIdle is below the idle time of the gates' servers.
-	gateIdle = 20 * time.Second
-	// targetIdle holds for upstreams that state no idle time.
-	targetIdle = 8 * time.Second
-)
-
-func gateSettings() proxy.Settings {
-	settings := proxy.DefaultSettings()
-	settings.MaxConns = callPoolSize
-	settings.MaxIdle, settings.Dial, settings.Silence = gateIdle, gateDial, callSilence
-	return settings
-}
-
-func targetSettings(dialect Dialect) proxy.Settings {
-	settings := proxy.DefaultSettings()
-	settings.MaxIdle, settings.Dial, settings.Silence = targetIdle, targetDial, callSilence
-	settings.Identity, settings.Belongs = true, dialect.Belongs
-	return settings
-}
-
 // live holds the settings that follow a changed file; the others need a
 // restart.
 type live struct {
@@ -234,43 +203,6 @@
 	return link.Options{Traffic: node.traffic, Pool: node.pool}
 }
 
-// listeners are the node's open ports.
-type listeners struct {
-	link    net.Listener
-	callers net.Listener
-	gate    net.Listener
-	admin   net.Listener
-	// ready and metrics are nil when both are asked at the admin address only.
-	ready   net.Listener
-	metrics net.Listener
-}
-
-func (node *Node) listen() (listeners, error) {
-	var opened listeners
-	var err error
-	open := func(key, address string) net.Listener {
-		if err != nil {
-			return nil
-		}
-		listener, failure := net.Listen("tcp", address)
-		if failure != nil {
-			err = &config.Error{Key: key, Reason: failure.Error()}
-		}
-		return listener
-	}
-	opened.link = open("link", node.settings.Link)
-	opened.callers = open("callers", node.settings.Callers)
-	opened.gate = open("gate", node.settings.Gate)
-	opened.admin = open("admin", node.settings.Admin)
-	if node.settings.Ready != "" {
-		opened.ready = open("ready", node.settings.Ready)
-	}
-	if node.settings.Metrics != "" {
-		opened.metrics = open("metrics", node.settings.Metrics)
-	}
-	return opened, err
-}
-
 // Run serves until the context ends, and then until the calls in progress are
 // done or the grace is over.
 func (node *Node) Run(ctx context.Context) error {
@@ -315,114 +247,6 @@
 	return failure
 }
 
-// adminTimeout bounds the wait for questions to the admin address.
-const adminTimeout = 200 * time.Millisecond
-
-func shutdownAdmin(admin *fasthttp.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
-	defer cancel()
-	err := admin.ShutdownWithContext(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil
-	}
-	return err
-}
-
-// limits bound what callers may send, as the configuration in force says.
-func (node *Node) limits() front.Limits {
-	limits := front.DefaultLimits()
-	config := node.config.Load()
-	if config == nil {
-		return limits
-	}
-	edition, ok := config.Edition()
-	if !ok {
-		return limits
-	}
-	stated := edition.Limits()
-	set(&limits.MaxHeader, stated.MaxHeader)
-	set(&limits.MaxBody, stated.MaxBody)
-	set(&limits.HeaderTimeout, stated.HeaderTimeout)
-	set(&limits.Idle, stated.IdleTimeout)
-	return limits
-}
-
-// set replaces a default by a stated value.
-func set[T int | time.Duration](target *T, stated T) {
-	if stated > 0 {
-		*target = stated
-	}
-}
-
-func (node *Node) server(handler front.Handler, limits func() front.Limits) *front.Server {
-	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.calls, Refused: node.refusedRequest})
-}
-
-// refusedRequest answers what cannot be read, or cannot be run for want of a
-// worker; neither has run.
-func (node *Node) refusedRequest(response *fasthttp.Response, status int) {
-	node.stats.Count("vp_requests_refused_total", 1)
-	node.dialect.Final(response, Final{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)})
-}
-
-type silent struct{}
-
-// Printf drops the server's own lines; failed exchanges are counted.
-func (silent) Printf(string, ...any) {}
-
-const (
-	// leavePause lets the news of leaving reach the other nodes while this one
-	// still answers.
-	leavePause = 300 * time.Millisecond
-	// leaveReserve is the part of the grace that is kept for the end of the
-	// process itself.
-	leaveReserve = time.Second
-	// leaveCalls is the part of the grace in which the last calls end.
-	leaveCalls = 1500 * time.Millisecond
-)
-
-// leave is the planned stop. Callers are served as usual until they had the
-// time to see that the node is not ready, so that neither they nor the slots
-// of the upstream wait; then nothing new is taken and what is in progress ends.
-func (node *Node) leave(opened listeners, callers, gates *front.Server) error {
-	node.log.Info("leaving", "calls", callers.Active(), "gateCalls", gates.Active())
-	node.stopping.Store(true)
-	grace := time.Duration(node.settings.Grace)
-	ctx, cancel := context.WithTimeout(context.Background(), max(leavePause, grace-leaveReserve))
-	defer cancel()
-	time.Sleep(node.noticeTime())
-	node.gate.drain()
-	node.announce()
-	time.Sleep(leavePause)
-	failure := errors.Join(opened.callers.Close(), opened.gate.Close())
-	ended := make(chan error, 2)
-	for _, server := range []*front.Server{callers, gates} {
-		go func() { ended <- server.Shutdown(ctx) }()
-	}
-	for range cap(ended) {
-		if err := <-ended; err != nil {
-			failure = errors.Join(failure, trace.Wrap(err, "calls were still in progress at the end of the grace"))
-		}
-	}
-	record := node.gate.record()
-	record.State = member.StateGone
-	node.tree.Do(func(core *distr.Core, now time.Time) { core.Leave(now, record) })
-	time.Sleep(leavePause / 3)
-	return failure
-}
-
-// noticeTime is how long callers are served after a planned stop began. A node
-// whose upstream is gone leaves for good: nothing gains from an early end, and
-// its callers have nowhere else to go while most nodes around are leaving too.
-func (node *Node) noticeTime() time.Duration {
-	grace := time.Duration(node.settings.Grace)
-	notice := min(time.Duration(node.settings.Notice), grace/2)
-	if node.settings.Notice > 0 && node.gate.vacant() {
-		notice = max(notice, grace-leaveReserve-leaveCalls)
-	}
-	return notice
-}
-
 // announce spreads the node's own record as it is now.
 func (node *Node) announce() {
 	record := node.gate.record()
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/config"
+	"github.com/vanillapulley/vanillapulley/internal/front"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+)
+
+// listeners are the node's open ports.
+type listeners struct {
+	link    net.Listener
+	callers net.Listener
+	gate    net.Listener
+	admin   net.Listener
+	// ready and metrics are nil when both are asked at the admin address only.
+	ready   net.Listener
+	metrics net.Listener
+}
+
+func (node *Node) listen() (listeners, error) {
+	var opened listeners
+	var err error
+	open := func(key, address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		listener, failure := net.Listen("tcp", address)
+		if failure != nil {
+			err = &config.Error{Key: key, Reason: failure.Error()}
+		}
+		return listener
+	}
+	opened.link = open("link", node.settings.Link)
+	opened.callers = open("callers", node.settings.Callers)
+	opened.gate = open("gate", node.settings.Gate)
+	opened.admin = open("admin", node.settings.Admin)
+	if node.settings.Ready != "" {
+		opened.ready = open("ready", node.settings.Ready)
+	}
+	if node.settings.Metrics != "" {
+		opened.metrics = open("metrics", node.settings.Metrics)
+	}
+	return opened, err
+}
+
+// limits bound what callers may send, as the configuration in force says.
+func (node *Node) limits() front.Limits {
+	limits := front.DefaultLimits()
+	config := node.config.Load()
+	if config == nil {
+		return limits
+	}
+	edition, ok := config.Edition()
+	if !ok {
+		return limits
+	}
+	stated := edition.Limits()
+	set(&limits.MaxHeader, stated.MaxHeader)
+	set(&limits.MaxBody, stated.MaxBody)
+	set(&limits.HeaderTimeout, stated.HeaderTimeout)
+	set(&limits.Idle, stated.IdleTimeout)
+	return limits
+}
+
+// set replaces a default by a stated value.
+func set[T int | time.Duration](target *T, stated T) {
+	if stated > 0 {
+		*target = stated
+	}
+}
+
+func (node *Node) server(handler front.Handler, limits func() front.Limits) *front.Server {
+	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.calls, Refused: node.refusedRequest})
+}
+
+// refusedRequest answers what cannot be read, or cannot be run for want of a
+// worker; neither has run.
+func (node *Node) refusedRequest(response *fasthttp.Response, status int) {
+	node.stats.Count("vp_requests_refused_total", 1)
+	node.dialect.Final(response, Final{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)})
+}
+
+type silent struct{}
+
+// Printf drops the server's own lines; failed exchanges are counted.
+func (silent) Printf(string, ...any) {}
