--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -145,6 +145,11 @@
 	}
 	want.Tried, want.Queue = call.tried, true
 	choice, ok = node.picker.Choose(now, want)
+	if !ok && call.tries > 0 {
+		// All have failed it; a service may have one target only.
+		want.Tried = nil
+		choice, ok = node.picker.Choose(now, want)
+	}
 	return choice, true, ok
 }
 
@@ -188,19 +193,22 @@
 
 // exchange sends the call to a target's gate, in this process if it is here.
 func (node *Node) exchange(ctx context.Context, call *call, target picker.Target, patient bool, response *fasthttp.Response) error {
+	response.Reset()
+	if target.Name == node.settings.Name {
+		local := node.locals.Get().(*fasthttp.RequestCtx)
+		defer node.locals.Put(local)
+		call.request.Request.CopyTo(&local.Request)
+		local.Response.Reset()
+		node.address(ctx, call, target, patient, &local.Request)
+		node.gate.serve(ctx, local)
+		local.Response.CopyTo(response)
+		return nil
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	call.request.Request.CopyTo(request)
-	response.Reset()
 	node.address(ctx, call, target, patient, request)
-	if target.Name != node.settings.Name {
-		return node.gates.Do(ctx, target.Gate, request, response)
-	}
-	var local fasthttp.RequestCtx
-	request.CopyTo(&local.Request)
-	node.gate.serve(ctx, &local)
-	local.Response.CopyTo(response)
-	return nil
+	return node.gates.Do(ctx, target.Gate, request, response)
 }
 
 // address writes what the target's gate is to know into a request.
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -351,23 +351,23 @@
 }
 
 // forward brings the call to the upstream, which has a slot for it, and
-// returns the outcome that was answered.
+// returns the outcome that was answered. The request is changed into the one
+// that the upstream gets.
 func (gate *gate) forward(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx) proxy.Outcome {
 	started := gate.node.now()
 	priority, _ := strconv.Atoi(string(request.Request.Header.Peek(proxy.HeaderPriority)))
 	defer func() { gate.leave(priority, gate.node.now().Sub(started)) }()
-	outgoing := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(outgoing)
-	request.Request.CopyTo(outgoing)
+	outgoing := &request.Request
 	caller := string(outgoing.Header.Peek(proxy.HeaderCaller))
 	for _, name := range gateHeaders {
 		outgoing.Header.Del(name)
 	}
 	outgoing.Header.SetNoDefaultContentType(true)
+	id := string(outgoing.Header.Peek(proxy.HeaderRequest))
 	deadline, _ := ctx.Deadline()
 	gate.node.dialect.Handover(outgoing, Handover{Timeout: deadline.Sub(started), UpstreamID: target.ID, CallerService: caller})
 	err := gate.node.targets.Do(ctx, target.Address, outgoing, &request.Response)
-	return gate.conclude(ctx, target, request, err)
+	return gate.conclude(ctx, target, id, request, err)
 }
 
 // gateHeaders are for the gate only.
@@ -377,9 +377,9 @@
 }
 
 // conclude marks the answer with what is certain.
-func (gate *gate) conclude(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+func (gate *gate) conclude(ctx context.Context, target lease.Notice, id string, request *fasthttp.RequestCtx, err error) proxy.Outcome {
 	if err != nil {
-		return gate.concludeLost(ctx, target, request, err)
+		return gate.concludeLost(ctx, target, id, request, err)
 	}
 	header := &request.Response.Header
 	header.ResetConnectionClose()
@@ -394,7 +394,7 @@
 		header.Set(proxy.HeaderTarget, gate.node.settings.Name)
 		return proxy.OutcomeNotRun
 	case told.Unproven:
-		return gate.unknown(ctx, target, request, "the upstream's answer is not a genuine one")
+		return gate.unknown(ctx, target, id, request, "the upstream's answer is not a genuine one")
 	}
 	header.Set(proxy.HeaderOutcome, string(proxy.OutcomeRan))
 	header.Set(proxy.HeaderVersion, target.Version)
@@ -402,7 +402,7 @@
 	return proxy.OutcomeRan
 }
 
-func (gate *gate) concludeLost(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+func (gate *gate) concludeLost(ctx context.Context, target lease.Notice, id string, request *fasthttp.RequestCtx, err error) proxy.Outcome {
 	var exchange *proxy.ExchangeError
 	if errors.As(err, &exchange) && !exchange.Sent {
 		gate.refuse(request, refusal{status: fasthttp.StatusServiceUnavailable, reason: "the upstream cannot be reached"})
@@ -411,17 +411,17 @@
 		}
 		return proxy.OutcomeNotRun
 	}
-	return gate.unknown(ctx, target, request, "the upstream gave no whole answer: "+err.Error())
+	return gate.unknown(ctx, target, id, request, "the upstream gave no whole answer: "+err.Error())
 }
 
 // unknown answers a call that may have run.
-func (gate *gate) unknown(ctx context.Context, target lease.Notice, request *fasthttp.RequestCtx, reason string) proxy.Outcome {
+func (gate *gate) unknown(ctx context.Context, target lease.Notice, id string, request *fasthttp.RequestCtx, reason string) proxy.Outcome {
 	status := fasthttp.StatusBadGateway
 	if ctx.Err() != nil {
 		status = fasthttp.StatusGatewayTimeout
 	}
 	gate.node.stats.Count("vp_gate_lost_answers_total", 1)
-	gate.explainLost(string(request.Request.Header.Peek(proxy.HeaderRequest)), target.ID, reason)
+	gate.explainLost(id, target.ID, reason)
 	own{}.Final(&request.Response, Final{Status: status, Outcome: proxy.OutcomeUnknown, Reason: reason})
 	request.Response.Header.Set(proxy.HeaderTarget, gate.node.settings.Name)
 	return proxy.OutcomeUnknown
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,8 @@
 	// is the version of the membership that targets are chosen by.
 	usualCalls atomic.Uint64
 	membership atomic.Uint64
+	// locals has requests for calls to the gate in this process.
+	locals sync.Pool
 	// calls runs the handlers of calls.
 	calls     *ants.Pool
 	noticeTTL time.Duration
@@ -180,6 +182,7 @@
 	node.gates = proxy.New(gateSettings(), deps.Now)
 	node.targets = proxy.New(targetSettings(node.dialect), deps.Now)
 	node.picker.Near(deps.Settings.Name)
+	node.locals.New = func() any { return &fasthttp.RequestCtx{} }
 	node.live.Store(&live{control: deps.Settings.Control, service: deps.Settings.Service})
 	node.gate = newGate(node)
 	node.claims = newClaims(node, started)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,7 +56,7 @@
 func nodeSettings(t testing.TB, name string) config.Node {
 	return config.Node{
 		Name: name, Zone: "a", Callers: address(t), Gate: address(t), Link: address(t), Admin: address(t),
-		Control: []string{"127.0.0.1:1"}, Queue: 1000, Grace: config.Duration(time.Second),
+		Control: []string{"127.0.0.1:1"}, Queue: 1000, Grace: config.Duration(time.Second), Heartbeat: config.Duration(time.Second),
 	}
 }
 
