A node is ready once it knows the targets, not only the routes

Ruled out: an empty service (its targets were served from other nodes). Change: a child that has just started gets the records before the configuration; a node is ready, and takes calls, once both are known; until then the refusal says when to come back. Test: distr (a new child learns the targets before the configuration; failed first).

--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -250,6 +250,10 @@
 	welcome.Accepted = true
 	welcome.Path = core.ownPath()
 	core.welcome(from, welcome)
+	if from.version == 0 {
+		// It has just started and would answer calls without knowing a target.
+		core.send(from, Message{Records: core.table.Records()})
+	}
 	core.update(from)
 }
 
--- a/internal/distr/join_test.go
+++ b/internal/distr/join_test.go
@@ -67,3 +67,33 @@
 	}
 	require.Less(t, now.Sub(begun), patienceWithRoots*2*joinRetryAfter)
 }
+
+// TestANewChildLearnsTheTargetsBeforeTheConfiguration wants no node to run a
+// configuration without knowing whom its routes lead to.
+func TestANewChildLearnsTheTargetsBeforeTheConfiguration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := Settings{Name: "c1", Root: true, MaxChildren: 4, JoinsPerSecond: 100, Timing: DefaultTiming(), Members: member.DefaultTiming()}
+	root := New(settings, rand.New(rand.NewPCG(1, 1)), now)
+	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{rsrc.NewService("s", "")}})
+	require.NoError(t, err)
+	root.Publish(config)
+	root.Accepted(1)
+	root.Receive(now, 1, Message{Hello: &Hello{Name: "n1", Version: 1}})
+	root.Receive(now, 1, Message{Records: []member.Record{{Name: "n1", Gate: "g", Incarnation: 1, Sequence: 1}}})
+	root.Take()
+	root.Accepted(2)
+	root.Receive(now, 2, Message{Hello: &Hello{Name: "n2"}})
+	var order []string
+	for _, action := range root.Take() {
+		switch {
+		case action.Send == nil:
+		case action.Send.Welcome != nil:
+			order = append(order, "welcome")
+		case action.Send.Records != nil:
+			order = append(order, "records")
+		case action.Send.Update != nil:
+			order = append(order, "update")
+		}
+	}
+	require.Equal(t, []string{"welcome", "records", "update"}, order)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -91,7 +91,7 @@
 
 // ready tells whether new callers should be sent here.
 func (node *Node) ready(request *fasthttp.RequestCtx) {
-	if node.version() == 0 || node.stopping.Load() {
+	if !node.synced.Load() || node.stopping.Load() {
 		request.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 	request.SetBodyString("{}\n")
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -65,7 +65,7 @@
 		return nil, 0, false
 	}
 	config := node.config.Load()
-	if config == nil {
+	if config == nil || !node.synced.Load() {
 		node.refuseEarly(request, ask, fasthttp.StatusServiceUnavailable, "no configuration yet")
 		return nil, 0, false
 	}
@@ -130,6 +130,10 @@
 	return host
 }
 
+// startTime is about how long a node needs from its start to a configuration
+// while control VMs answer; callers are told to come back after it.
+const startTime = 200 * time.Millisecond
+
 // rawPath returns the path as it was sent. The library's own accessor would
 // rewrite the request's target when it is passed on.
 func rawPath(request *fasthttp.RequestCtx) string {
@@ -168,6 +172,10 @@
 	if _, err := dedup.ParseKey("", "", ask.Key); err == nil && ask.Key != "" {
 		outcome = proxy.OutcomeUnknown
 	}
-	node.dialect.Final(&request.Response, Final{Status: status, Outcome: outcome, Reason: reason})
+	final := Final{Status: status, Outcome: outcome, Reason: reason}
+	if status == fasthttp.StatusServiceUnavailable {
+		final.RetryAfter = startTime
+	}
+	node.dialect.Final(&request.Response, final)
 	node.log.V(1).Info("call refused early", "id", ask.ID, "status", status, "reason", reason)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,9 @@
 	early atomic.Pointer[lease.Notice]
 	// reloaded is true until the control VMs of changed settings are used.
 	reloaded atomic.Bool
+	// synced is true once a configuration is in force and the targets that came
+	// with it are known to the picker.
+	synced atomic.Bool
 	// changed is true when the own record has to be announced again.
 	changed atomic.Bool
 	gate    *gate
@@ -264,6 +267,9 @@
 		}
 		node.takeEarly()
 		node.updateTargets()
+		if node.version() > 0 {
+			node.synced.Store(true)
+		}
 		node.gate.expire()
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,6 +50,7 @@
 		return err == nil
 	}, 5*time.Second, 10*time.Millisecond)
 	node.Applied(config)
+	require.Eventually(t, node.synced.Load, 5*time.Second, time.Millisecond)
 	return node
 }
 
