A call that runs out of time is answered 504 and says so

Ruled out: an upstream that broke off (it was still at work). Change: the clock decides, with 5 ms of slack, for the status and against another try. Test: a timeout is said so.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -170,7 +169,7 @@
 	// An unknown outcome is final for a keyed call; a read may simply be read
 	// again.
 	final := result.final && (call.class != classRead || result.outcome != proxy.OutcomeUnknown)
-	if good || final || ctx.Err() != nil {
+	if good || final || ctx.Err() != nil || node.timeIsUp(ctx) {
 		return 0, false
 	}
 	if result.outcome == proxy.OutcomeNotRun && !result.spent {
@@ -292,10 +291,21 @@
 	if ended.final && response != nil && !call.mayHaveRun && !ended.full {
 		final.Status = response.StatusCode()
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && call.mayHaveRun {
+	if call.mayHaveRun && node.timeIsUp(ctx) {
 		final.Status = fasthttp.StatusGatewayTimeout
 	}
 	node.dialect.Final(&call.request.Response, final)
 	ended.outcome = final.Outcome
 	return ended
 }
+
+// deadlineSlack is how much sooner a connection may report its deadline than
+// the call's own timer.
+const deadlineSlack = 5 * time.Millisecond
+
+// timeIsUp reports whether a call has no time left. The deadline of its
+// connection may have come first.
+func (node *Node) timeIsUp(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && deadline.Sub(node.now()) < deadlineSlack
+}
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -91,7 +92,7 @@
 	if errors.Is(context.Cause(ctx), proxy.ErrCallerLeft) {
 		lost.learned = picker.ResultCanceled
 		lost.reason = proxy.ErrCallerLeft.Error()
-	} else if ctx.Err() != nil {
+	} else if ctx.Err() != nil || errors.Is(exchange.Err, fasthttp.ErrTimeout) || errors.Is(exchange.Err, os.ErrDeadlineExceeded) {
 		lost.reason = "deadline"
 	}
 	return lost
--- a/internal/node/kinds_test.go
+++ b/internal/node/kinds_test.go
@@ -181,3 +181,19 @@
 	}
 	require.Zero(t, counts["none"])
 }
+
+// TestATimeoutIsSaidSo has an upstream that takes a call and stays silent: at the
+// route's timeout the caller is told that it may have run, and that time was the
+// reason.
+func TestATimeoutIsSaidSo(t *testing.T) {
+	node := startNode(t, "n1", kindConfig(t))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	announce(t, node, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: listener.Addr().String()})
+	for range 2 {
+		begun := time.Now()
+		require.Equal(t, http.StatusGatewayTimeout, send(t, node, http.MethodGet, "/once/x"))
+		require.GreaterOrEqual(t, time.Since(begun), 900*time.Millisecond)
+	}
+}
