--- a/internal/distr/join_test.go
+++ b/internal/distr/join_test.go
@@ -12,16 +12,22 @@
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
 
-// TestAStaleRootSendsItsChildrenAway cuts a control VM off from the source: its
-// child must find another root and not wait for news that cannot come; a root
-// that has just started is asked again before any peer is.
-func TestAStaleRootSendsItsChildrenAway(t *testing.T) {
-	now := time.Unix(1000, 0)
+// newRoot returns a control VM's core with a configuration.
+func newRoot(t *testing.T, now time.Time) *Core {
 	settings := Settings{Name: "c1", Root: true, MaxChildren: 4, JoinsPerSecond: 100, Timing: DefaultTiming(), Members: member.DefaultTiming()}
 	root := New(settings, rand.New(rand.NewPCG(1, 1)), now)
 	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{rsrc.NewService("s", "")}})
 	require.NoError(t, err)
 	root.Publish(config)
+	return root
+}
+
+// TestAStaleRootSendsItsChildrenAway cuts a control VM off from the source: its
+// child must find another root and not wait for news that cannot come; a root
+// that has just started is asked again before any peer is.
+func TestAStaleRootSendsItsChildrenAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	root := newRoot(t, now)
 	hello := func(id LinkID) []Action {
 		root.Accepted(id)
 		root.Receive(now, id, Message{Hello: &Hello{Name: "n1", Version: 1}})
@@ -72,11 +78,7 @@
 // configuration without knowing whom its routes lead to.
 func TestANewChildLearnsTheTargetsBeforeTheConfiguration(t *testing.T) {
 	now := time.Unix(1000, 0)
-	settings := Settings{Name: "c1", Root: true, MaxChildren: 4, JoinsPerSecond: 100, Timing: DefaultTiming(), Members: member.DefaultTiming()}
-	root := New(settings, rand.New(rand.NewPCG(1, 1)), now)
-	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{rsrc.NewService("s", "")}})
-	require.NoError(t, err)
-	root.Publish(config)
+	root := newRoot(t, now)
 	root.Accepted(1)
 	root.Receive(now, 1, Message{Hello: &Hello{Name: "n1", Version: 1}})
 	root.Receive(now, 1, Message{Records: []member.Record{{Name: "n1", Gate: "g", Incarnation: 1, Sequence: 1}}})
--- /dev/null
+++ b/internal/node/future_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/dedup"
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// behind is how late the second node's clock is; more than keys may differ.
+const behind = 3 * dedup.Skew
+
+// TestAKeyFromTheFutureIsLookedUp sends a keyed call to a node that runs it, and
+// again to one whose clock is late: that one must not say that the call did not
+// run, but bring the first answer.
+func TestAKeyFromTheFutureIsLookedUp(t *testing.T) {
+	change := rsrc.Change{Put: []rsrc.Resource{
+		rsrc.NewService("s", rsrc.PolicyBalanced),
+		rsrc.NewVersion("s", "v1", 1),
+		rsrc.NewRoute("r", "s", "/", "v1", time.Minute),
+		rsrc.NewWitnesses(rsrc.Placement{Nodes: []string{"n1", "n2"}}),
+	}}
+	config, err := rsrc.EmptyConfig().Apply(1, change)
+	require.NoError(t, err)
+	first := startNode(t, "n1", config)
+	late := startNodeAt(t, "n2", config, func() time.Time { return time.Now().Add(-behind) })
+	startUpstream(t, first, 0)
+	startUpstream(t, late, 0)
+	for _, pair := range [][2]*Node{{first, first}, {first, late}, {late, first}, {late, late}} {
+		introduce(t, pair[0], pair[1])
+	}
+	// Witnesses abstain on keys issued about the time of their start.
+	time.Sleep(dedup.Skew + 200*time.Millisecond)
+	key, err := uuid.NewV7()
+	require.NoError(t, err)
+	order := func(node *Node) (int, string) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.settings.Callers+"/order", nil)
+		require.NoError(t, err)
+		request.Header.Set("Idempotency-Key", key.String())
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode, response.Header.Get("Vp-Outcome")
+	}
+	status, outcome := order(first)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "ran", outcome)
+	for range 5 {
+		status, outcome = order(late)
+		require.Equal(t, "ran", outcome, "status %d", status)
+		require.Equal(t, http.StatusOK, status)
+	}
+}
+
+// startNodeAt is startNode with a clock of its own.
+func startNodeAt(t *testing.T, name string, config *rsrc.Config, now func() time.Time) *Node {
+	node, err := New(Deps{Settings: nodeSettings(t, name), Logs: logs.Discard(), Stats: stats.New(), Now: now, Random: random})
+	require.NoError(t, err)
+	return runNode(t, node, config)
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,6 +35,11 @@
 func startNode(t testing.TB, name string, config *rsrc.Config) *Node {
 	node, err := New(Deps{Settings: nodeSettings(t, name), Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random})
 	require.NoError(t, err)
+	return runNode(t, node, config)
+}
+
+// runNode runs a node and gives it a configuration.
+func runNode(t testing.TB, node *Node, config *rsrc.Config) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run(ctx) }()
