A node that restarts with an earlier clock recalls what it had told

Found by reading the change: an earlier life was told by a lower incarnation, which is a time of day; after a step back of the clock a restarted node ignored what others remembered, and would have served an upstream that had left. Ruled out: the member table, which raises an own incarnation that is too low. Change: every record that is not of this life is recalled. Test: a restart with an earlier clock recalls; failed first. The lock order in node.go is stated as it is.

--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -138,7 +138,9 @@
 // recall learns what this node had told of its upstream before a restart.
 func (gate *gate) recall(former member.Record) {
 	upstream := former.Upstream
-	if former.Incarnation >= gate.node.incarnation || upstream.ID == "" {
+	// The time of day may have gone back since the life before, so that its
+	// incarnation is the higher one.
+	if former.Incarnation == gate.node.incarnation || upstream.ID == "" {
 		return
 	}
 	gate.lock.Lock()
--- a/internal/node/kinds_test.go
+++ b/internal/node/kinds_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
 
@@ -129,6 +130,21 @@
 	require.EqualValues(t, 1, upstream.runs.Load())
 }
 
+// TestARestartWithAnEarlierClockRecalls restarts a node after the time of day
+// went back: what it had acknowledged still holds.
+func TestARestartWithAnEarlierClockRecalls(t *testing.T) {
+	node := startNode(t, "n1", kindConfig(t))
+	upstream := startDeaf(t, 0)
+	node.Recall(member.Record{
+		Name:        "n1",
+		Incarnation: node.incarnation + uint64(time.Minute),
+		Upstream:    member.Upstream{ID: "i-1", Born: 1, Sequence: 9, Service: "s", Version: "v1", Slots: 12, Gone: true},
+	})
+	node.Announce(full(lease.Notice{ID: "i-1", Born: 1, Sequence: 10, Address: upstream.address}))
+	require.Equal(t, http.StatusServiceUnavailable, send(t, node, http.MethodGet, "/once/x"))
+	require.Zero(t, upstream.runs.Load())
+}
+
 // TestReadyFollowsConfigurationAndStop asks as a platform does.
 func TestReadyFollowsConfigurationAndStop(t *testing.T) {
 	node := startNode(t, "n1", kindConfig(t))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,8 +78,9 @@
 	Admin func(node *Node, request *fasthttp.RequestCtx) bool
 }
 
-// Node is the daemon of one node. Lock order: gate.lock or claims.lock, then
-// calls.lock, then the tree's own lock; no lock is held while waiting.
+// Node is the daemon of one node. Lock order: claims.lock, then the tree's own
+// lock, then gate.lock (the tree recalls under its lock), then lock; no lock is
+// held while waiting.
 type Node struct {
 	// settings are those of the start; live has what may change since.
 	settings    config.Node
