The test of the earlier clock looks at the belief itself

Now the node's own record is checked: with the old code it is serving (run: expected idle, got serving), with the new one idle.

--- a/internal/node/kinds_test.go
+++ b/internal/node/kinds_test.go
@@ -141,6 +141,7 @@
 		Upstream:    member.Upstream{ID: "i-1", Born: 1, Sequence: 9, Service: "s", Version: "v1", Slots: 12, Gone: true},
 	})
 	node.Announce(full(lease.Notice{ID: "i-1", Born: 1, Sequence: 10, Address: upstream.address}))
+	require.Equal(t, member.StateIdle, node.gate.record().State)
 	require.Equal(t, http.StatusServiceUnavailable, send(t, node, http.MethodGet, "/once/x"))
 	require.Zero(t, upstream.runs.Load())
 }
