--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -96,7 +96,8 @@
 // count adds a try's outcome to what is known of the call.
 func (call *call) count(result result) {
 	call.mayHaveRun = call.mayHaveRun || result.outcome == proxy.OutcomeUnknown
-	if result.spent {
+	if result.spent || call.class == classKeyed {
+		// Another try of a keyed call may wait for the one that holds its claim.
 		call.tries++
 		return
 	}
@@ -172,7 +173,7 @@
 	if good || final || ctx.Err() != nil || node.timeIsUp(ctx) {
 		return 0, false
 	}
-	if result.outcome == proxy.OutcomeNotRun && !result.spent {
+	if result.outcome == proxy.OutcomeNotRun && !result.spent && call.class != classKeyed {
 		return 0, call.refusals < maxRefusals
 	}
 	if most := call.route.MaxAttempts(); most > 0 && call.tries >= most {
