Rollouts of quiet services: more calls for the decision; the demo's bursts fit its queue

Cause of TestProcesses/demo's flakiness, traced by printing how sends ended (four demos at once under the race detector): after the good rollout one upstream serves alone, 60 orders and 400 reads a second meet a queue of 64 places, and calls with 5 s left are turned away as 'full' although 0.2 s later there is a slot. The default queue is 256 places now: 4 MB of waiting calls; the wait itself is bounded by each call's time.

A second cause, found on the way: two demos at once took the same ports from the range of outgoing connections; a node then ended unseen and the demo waited 55 s (2 of 12 runs). Addresses come from the range that the scripted tests use, and the demo ends when a part of it ends.

--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -50,6 +50,8 @@
 	// Ramp lists the shares after clearance, in permille; nil means the usual
 	// ones.
 	Ramp []int
+	// Within is the time allowed for the rollout of a whole service.
+	Within time.Duration
 	// Whole is true when all calls of a service move and its old targets stop
 	// at the end. Its operator has started new ones for all of the traffic, so
 	// their number does not bound the share, and the share jumps in one step:
@@ -70,6 +72,7 @@
 // WithinTiming divides the time allowed for the rollout of a whole service.
 func WithinTiming(within time.Duration) Timing {
 	return Timing{
+		Within:   within,
 		Dwell:    within / withinDwell,
 		Watch:    within / withinWatch,
 		Cold:     coldStart,
@@ -83,6 +86,10 @@
 // is decided. It keeps the calls that a bad version gets under a tenth of all.
 const wholeShare = 80
 
+// spareCalls is half of the fifty calls that a bad version may get beyond a
+// tenth; the others are for the time that it takes to be seen with all calls.
+const spareCalls = 25.0
+
 // DefaultTiming suits a fleet with a convergence time of some seconds.
 func DefaultTiming() Timing {
 	return Timing{Dwell: 6 * time.Second, Watch: 10 * time.Minute, Cold: 15 * time.Second, Reaction: 2 * time.Second}
@@ -93,11 +100,15 @@
 const CallsAtRisk = 60
 
 // alarm is the chance of calling a good version bad that a rollout accepts.
-func (timing Timing) alarm() float64 {
-	if timing.Whole {
+func (controller *Controller) alarm() float64 {
+	switch {
+	case controller.timing.Whole && controller.clearing == rsrc.StateWatching:
+		return wholeSuspicion
+	case controller.timing.Whole:
 		return wholeAlarm
+	default:
+		return falseAlarm
 	}
-	return falseAlarm
 }
 
 const (
@@ -105,7 +116,8 @@
 	// more calls than it may while more evidence is awaited.
 	wholeAlarm = 0.004
 	// wholeSuspicion is the chance of evidence against a good version that
-	// keeps it from all traffic without being cleared.
+	// keeps it from all traffic without being cleared, or takes it back once it
+	// has all traffic: a bad version hurts most then.
 	wholeSuspicion = 0.04
 )
 
@@ -192,7 +204,7 @@
 	if last.Share != controller.share || last.State != controller.clearing {
 		controller.newStep(now, last)
 	}
-	if cause, bad := controller.evidence.BadAt(controller.timing.alarm()); bad {
+	if cause, bad := controller.evidence.BadAt(controller.alarm()); bad {
 		return step(now, rsrc.StateRolledBack, 0, cause), true
 	}
 	switch last.State {
@@ -285,7 +297,7 @@
 	perReaction := controller.rate * controller.timing.Reaction.Seconds()
 	first := CanaryShare
 	if controller.timing.Whole {
-		first = wholeShare
+		first = wholeShare + controller.spareShare()
 	}
 	if perReaction*float64(first)/rsrc.FullShare <= CallsAtRisk {
 		return first
@@ -293,6 +305,18 @@
 	return max(1, int(CallsAtRisk/perReaction*rsrc.FullShare))
 }
 
+// spareShare adds the spare calls to the first share of the rollout of a whole
+// service, spread over the time until the decision. Where calls are few, more
+// of them are needed to tell a version that fails some of them.
+func (controller *Controller) spareShare() int {
+	due := controller.timing.Within - controller.timing.Watch - reserve - controller.timing.Dwell
+	calls := controller.rate * due.Seconds()
+	if calls <= 0 {
+		return 0
+	}
+	return min(CanaryShare, int(spareCalls/calls*rsrc.FullShare))
+}
+
 // plan says how the rollout is expected to go.
 func (controller *Controller) plan(now time.Time, input Input, share int) string {
 	needed, ok := controller.Needed(share)
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -106,41 +105,17 @@
 	return demo.summary()
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses = append(addresses, address)
-	}
-	return addresses, nil
-}
-
 // start runs one control VM, the nodes, and an upstream of its own version
 // beside each node; the third version fails.
 func (demo *demo) start(ctx context.Context) error {
 	demo.say("starting a control VM, %d nodes and %d upstreams on loopback", demoNodes, demoNodes)
-	addresses, err := freeAddresses(2 + 4*demoNodes)
-	if err != nil {
-		return err
-	}
-	api, link := addresses[0], addresses[1]
+	api, link := sample.FreeAddress(), sample.FreeAddress()
 	demo.api = client.New([]string{api})
 	if err := demo.startControl(ctx, api, link); err != nil {
 		return err
 	}
 	for i := range demoNodes {
-		if err := demo.startNode(ctx, i, link, addresses[2+4*i:]); err != nil {
+		if err := demo.startNode(ctx, i, link); err != nil {
 			return err
 		}
 	}
@@ -180,10 +155,10 @@
 	return nil
 }
 
-func (demo *demo) startNode(ctx context.Context, i int, link string, addresses []string) error {
+func (demo *demo) startNode(ctx context.Context, i int, link string) error {
 	settings := config.Node{
 		Name: fmt.Sprintf("node-%d", i+1), Zone: "tx-central-" + string(rune('a'+i)),
-		Callers: addresses[0], Gate: addresses[1], Link: addresses[2], Admin: addresses[3],
+		Callers: sample.FreeAddress(), Gate: sample.FreeAddress(), Link: sample.FreeAddress(), Admin: sample.FreeAddress(),
 		Control: []string{link}, MaxChildren: config.DefaultMaxChildren,
 		Queue: config.DefaultQueue, Grace: config.Duration(time.Second),
 	}
@@ -216,6 +191,8 @@
 		select {
 		case <-ctx.Done():
 			return trace.LimitExceeded("not in time: %s", what)
+		case end := <-demo.group.Ends():
+			return trace.Errorf("%s has ended early: %v", end.Name, end.Err)
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
@@ -346,9 +323,11 @@
 		for i := range demoSends {
 			running.Go(func() {
 				time.Sleep(rand.N(20 * time.Millisecond))
-				if demo.send(demo.callers[i%demoNodes], "POST", key.String()) == string(proxy.OutcomeRan) {
-					answered.Add(1)
+				if outcome := demo.send(demo.callers[i%demoNodes], "POST", key.String()); outcome != string(proxy.OutcomeRan) {
+					demo.say("  an order's send ended as: %s", outcome)
+					return
 				}
+				answered.Add(1)
 			})
 		}
 	}
--- a/internal/cmds/fleet_test.go
+++ b/internal/cmds/fleet_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 )
 
 // measured is what one process used over an interval.
@@ -56,7 +58,7 @@
 	fleet := &processes{scrapes: map[*exec.Cmd]string{}}
 	var links, apis []string
 	for range 3 {
-		links, apis = append(links, freePort()), append(apis, freePort())
+		links, apis = append(links, sample.FreeAddress()), append(apis, sample.FreeAddress())
 	}
 	fleet.api = apis[0]
 	for i := range 3 {
@@ -73,8 +75,8 @@
 	}
 	for i := range size {
 		name := fmt.Sprintf("n%d", i+1)
-		admin := freePort()
-		settings := map[string]any{"name": name, "zone": zone(i), "callers": freePort(), "gate": freePort(), "link": freePort(), "admin": admin, "control": links}
+		admin := sample.FreeAddress()
+		settings := map[string]any{"name": name, "zone": zone(i), "callers": sample.FreeAddress(), "gate": sample.FreeAddress(), "link": sample.FreeAddress(), "admin": admin, "control": links}
 		process := startProcess(b, program, "node", "-s", writeSettings(b, folder, name, settings))
 		fleet.nodes = append(fleet.nodes, process)
 		fleet.scrapes[process] = admin
--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,8 @@
 
 	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 )
 
 func TestMain(m *testing.M) {
@@ -83,31 +84,6 @@
 
 func benchOf(ts *testscript.TestScript) *bench { return ts.Value("bench").(*bench) }
 
-// nextPort walks a range below the one that outgoing connections use, so that
-// none of them takes a port between its choice and its use.
-var nextPort = struct {
-	sync.Mutex
-	port int
-}{port: lowestPort + os.Getpid()*37%portCount}
-
-const (
-	lowestPort = 10_000
-	portCount  = 20_000
-)
-
-func freePort() string {
-	nextPort.Lock()
-	defer nextPort.Unlock()
-	for {
-		nextPort.port = lowestPort + (nextPort.port-lowestPort+1)%portCount
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.port))
-		if err == nil {
-			_ = listener.Close()
-			return listener.Addr().String()
-		}
-	}
-}
-
 // cmdFleet writes settings: fleet CONTROLS NODES [WATCH]. The files are
 // c1.json and so on; addresses are in $c1_api, $n1_callers and so on.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
@@ -119,10 +95,10 @@
 	}
 	var links, apis, nodeLinks []string
 	for range controls {
-		links, apis = append(links, freePort()), append(apis, freePort())
+		links, apis = append(links, sample.FreeAddress()), append(apis, sample.FreeAddress())
 	}
 	for range nodes {
-		nodeLinks = append(nodeLinks, freePort())
+		nodeLinks = append(nodeLinks, sample.FreeAddress())
 	}
 	for i := range controls {
 		name := fmt.Sprintf("c%d", i+1)
@@ -138,8 +114,8 @@
 	for i := range nodes {
 		name := fmt.Sprintf("n%d", i+1)
 		settings := map[string]any{
-			"name": name, "zone": zone(i), "callers": freePort(), "gate": freePort(),
-			"link": nodeLinks[i], "admin": freePort(), "control": links, "seeds": nodeLinks, "grace": "5s",
+			"name": name, "zone": zone(i), "callers": sample.FreeAddress(), "gate": sample.FreeAddress(),
+			"link": nodeLinks[i], "admin": sample.FreeAddress(), "control": links, "seeds": nodeLinks, "grace": "5s",
 		}
 		write(ts, name, settings)
 		for _, key := range []string{"callers", "admin"} {
@@ -258,7 +234,9 @@
 }
 
 // cmdPort sets a variable to a free address: port VARIABLE.
-func cmdPort(ts *testscript.TestScript, _ bool, args []string) { ts.Setenv(args[0], freePort()) }
+func cmdPort(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], sample.FreeAddress())
+}
 
 // cmdFetch sets a variable to the body of an answer: fetch VARIABLE ADDRESS PATH.
 func cmdFetch(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -150,9 +150,11 @@
 const (
 	DefaultMaxChildren   = 8
 	DefaultSnapshotEvery = 1000
-	DefaultQueue         = 64
-	DefaultGrace         = 30 * time.Second
-	DefaultHeartbeat     = time.Second
+	// A waiting call holds about 16 KB of a node, so these hold 4 MB; how long
+	// a call may wait is bounded by its own time.
+	DefaultQueue     = 256
+	DefaultGrace     = 30 * time.Second
+	DefaultHeartbeat = time.Second
 )
 
 // The values of the setting "interface".
