Large updates travel compressed; a configuration in force is logged

Cause: on the grown sites a change of 1,500 routes (335 KB as JSON) goes through nodes with lines of 4.3 Mbit/s; one that passes it to eight children needs 5 s, the bound is 2 s. Calls share the same lines, so their answers are late as well. Ruled out: time to decode and to merge (11 ms and 3 ms at full speed).

Change: deltas from 2 KB on are sent as deflate, 13 KB here; the size after decompression is bounded. A node logs each configuration that it puts in force.

--- a/internal/distr/fleet_test.go
+++ b/internal/distr/fleet_test.go
@@ -90,7 +90,7 @@
 	// trusting is a broken variant: a root confirms without a quorum.
 	trusting  bool
 	violation error
-	sizes     map[*rsrc.Delta][]byte
+	sizes     map[*rsrc.Delta]wire.Update
 	names     []string
 }
 
@@ -102,7 +102,7 @@
 		cut:      map[string]bool{},
 		config:   rsrc.EmptyConfig(),
 		settings: func(*distr.Settings) {},
-		sizes:    map[*rsrc.Delta][]byte{},
+		sizes:    map[*rsrc.Delta]wire.Update{},
 	}
 }
 
@@ -280,11 +280,11 @@
 
 // encodedSize is what a message takes on the wire.
 func (fleet *fleet) encodedSize(message distr.Message) int {
-	var update []byte
+	var update wire.Update
 	if message.Update != nil {
 		data, ok := fleet.sizes[message.Update]
 		if !ok {
-			data = wire.Must(wire.FromDelta(*message.Update))
+			data = wire.EncodeDelta(*message.Update)
 			fleet.sizes[message.Update] = data
 		}
 		update = data
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -66,7 +66,7 @@
 	ids    map[*link.Conn]distr.LinkID
 	lastID distr.LinkID
 	// encoded caches updates, since many receivers get the same one.
-	encoded map[*rsrc.Delta][]byte
+	encoded map[*rsrc.Delta]wire.Update
 	parent  string
 }
 
@@ -83,7 +83,7 @@
 		core:    core,
 		conns:   map[distr.LinkID]*link.Conn{},
 		ids:     map[*link.Conn]distr.LinkID{},
-		encoded: map[*rsrc.Delta][]byte{},
+		encoded: map[*rsrc.Delta]wire.Update{},
 	}
 }
 
@@ -140,6 +140,7 @@
 	case action.Config != nil:
 		clear(tree.encoded)
 		tree.stats.Count("vp_config_applied_total", 1)
+		tree.log.Info("configuration in force", "version", action.Config.Version(), "resources", action.Config.Len(), "from", tree.core.Parent())
 		tree.host.Applied(action.Config)
 	case action.Refused != nil:
 		tree.stats.Count("vp_config_refused_total", 1)
@@ -183,13 +184,13 @@
 	}
 }
 
-func (tree *Tree) encode(delta *rsrc.Delta) []byte {
+func (tree *Tree) encode(delta *rsrc.Delta) wire.Update {
 	if delta == nil {
-		return nil
+		return wire.Update{}
 	}
 	data, ok := tree.encoded[delta]
 	if !ok {
-		data = wire.Must(wire.FromDelta(*delta))
+		data = wire.EncodeDelta(*delta)
 		tree.encoded[delta] = data
 	}
 	return data
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -94,8 +94,8 @@
 	}, nil
 }
 
-// DecodeDelta reads an encoded delta.
-func DecodeDelta(data []byte) (rsrc.Delta, error) {
+// decodeDelta reads the JSON of a delta.
+func decodeDelta(data []byte) (rsrc.Delta, error) {
 	var delta Delta
 	if err := json.Unmarshal(data, &delta); err != nil {
 		return rsrc.Delta{}, err
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -13,6 +13,7 @@
 	Hello   *Hello          `json:"hello,omitempty"`
 	Welcome *Welcome        `json:"welcome,omitempty"`
 	Update  json.RawMessage `json:"update,omitempty"`
+	Packed  []byte          `json:"packed,omitempty"`
 	Pull    *Pull           `json:"pull,omitempty"`
 	Report  *Report         `json:"report,omitempty"`
 	Records []Record        `json:"records,omitempty"`
@@ -151,8 +152,8 @@
 
 // FromTreeMessage converts a message between nodes. The encoded update is
 // passed in, since one encoding serves many receivers.
-func FromTreeMessage(message distr.Message, update []byte) TreeMessage {
-	written := TreeMessage{Update: update, Path: message.Path, Bye: message.Bye}
+func FromTreeMessage(message distr.Message, update Update) TreeMessage {
+	written := TreeMessage{Update: update.plain, Packed: update.packed, Path: message.Path, Bye: message.Bye}
 	if message.Hello != nil {
 		hello := Hello(*message.Hello)
 		written.Hello = &hello
@@ -244,10 +245,11 @@
 	for _, record := range written.Records {
 		message.Records = append(message.Records, record.Domain())
 	}
-	if len(written.Update) == 0 {
+	update := Update{plain: written.Update, packed: written.Packed}
+	if update.empty() {
 		return message, nil
 	}
-	delta, err := DecodeDelta(written.Update)
+	delta, err := update.Delta()
 	message.Update = &delta
 	return message, err
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -28,7 +28,7 @@
 
 func TestAConfigurationComesBackTheSame(t *testing.T) {
 	config := sampleConfig(t)
-	delta, err := DecodeDelta(Must(FromDelta(config.DeltaSince(0))))
+	delta, err := decodeDelta(Must(FromDelta(config.DeltaSince(0))))
 	require.NoError(t, err)
 	got, err := rsrc.EmptyConfig().Merge(delta)
 	require.NoError(t, err)
@@ -45,7 +45,7 @@
 	f.Add([]byte(`{"to":1,"put":[{"kind":"route","name":"r","revision":1}]}`))
 	f.Add([]byte(`{"to":18446744073709551615,"from":1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		delta, err := DecodeDelta(data)
+		delta, err := decodeDelta(data)
 		if err != nil {
 			return
 		}
