A queued call that can no longer be done in time is refused then

Cause: a waiting call was refused at its deadline only; by then the entry node had ended it as unknown, and one admitted shortly before was cut off at the target. Ruled out: the estimate on arrival, which holds when the target keeps its speed. Change: a call with less time left than the mean of its priority is refused, while it waits or when its turn comes.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -334,7 +334,7 @@
 }
 
 // admitQueued serves the most urgent calls, one of each customer in turn. Calls
-// whose deadline has passed are refused.
+// that can no longer be done in time are refused.
 func (gate *Gate) admitQueued(now time.Time) {
 	for gate.inFlight < gate.slots && gate.queued > 0 {
 		priority := gate.priorities()[0]
@@ -344,7 +344,7 @@
 		line.queues[customer] = line.queues[customer][1:]
 		line.turn = append(line.turn[1:], customer)
 		gate.took(priority, line, customer)
-		if !now.Before(ticket.deadline) {
+		if gate.tooLate(now, ticket) {
 			ticket.decided(ReasonDeadline)
 			continue
 		}
@@ -353,10 +353,17 @@
 	}
 }
 
-// Expire refuses the waiting calls whose deadline has passed.
+// tooLate reports whether a call has less time left than one of its priority
+// takes in the mean. Run now it would most likely be cut off, and its caller
+// could no longer be told that it has not run.
+func (gate *Gate) tooLate(now time.Time, ticket *Ticket) bool {
+	return !now.Add(gate.serviceOf(ticket.priority)).Before(ticket.deadline)
+}
+
+// Expire refuses the waiting calls that can no longer be done in time.
 func (gate *Gate) Expire(now time.Time) {
 	for _, ticket := range gate.waiting() {
-		if !now.Before(ticket.deadline) && gate.Cancel(ticket) {
+		if gate.tooLate(now, ticket) && gate.Cancel(ticket) {
 			ticket.decided(ReasonDeadline)
 		}
 	}
