A soak of the real programs under seeded faults

Real processes (3 control VMs, 4 nodes), forwarders on every connection between them and to callers and upstreams; kills, stops, pauses, torn logs, delays, resets, silence one way or both, upstreams that are replaced; in series and overlapping, from a seed. Checked: each answer is the call's own and states its outcome, orders and once-only calls run at most once, 'not run' is true, a call without an answer has a fault at its own node, accepted changes are never lost, versions never fall on a node, everything is served again 10 s after the last fault, no process ends by itself.

Settings listenGate and listenLink: where a process listens when others reach it at a forwarded address.

Wrong clocks and disks that are full or slow are not injected.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,6 +68,9 @@
 	// API is where operators connect, Link where nodes and other control VMs do.
 	API  string `json:"api"`
 	Link string `json:"link"`
+	// ListenLink is where this process listens when the others' connections to
+	// Link are forwarded to it; empty means at Link itself.
+	ListenLink string `json:"listenLink"`
 	// Peers lists the link addresses of the other control VMs.
 	Peers []string `json:"peers"`
 	// Replicas is the number of voters to aim for: 1, 3 or 5.
@@ -102,6 +105,11 @@
 	Gate    string `json:"gate"`
 	Link    string `json:"link"`
 	Admin   string `json:"admin"`
+	// ListenGate and ListenLink are where this process listens when the others'
+	// connections to Gate and Link are forwarded to it; empty means at those
+	// addresses themselves.
+	ListenGate string `json:"listenGate"`
+	ListenLink string `json:"listenLink"`
 	// Control lists the link addresses of the control VMs.
 	Control []string `json:"control"`
 	// Seeds lists link addresses of some other nodes, for a start while no
@@ -190,6 +198,7 @@
 	checker.require(control.SnapshotEvery > 0, "snapshotEvery", "must be positive")
 	checker.face(control.Interface)
 	checker.optional("metrics", control.Metrics)
+	checker.optional("listenLink", control.ListenLink)
 	checker.require(!control.Found || len(control.Peers) > 0, "found", "needs peers")
 	checker.positive("rollout.dwell", control.Rollout.Dwell)
 	checker.positive("rollout.watch", control.Rollout.Watch)
@@ -244,6 +253,8 @@
 	checker.optional("ready", node.Ready)
 	checker.optional("metrics", node.Metrics)
 	checker.optional("upstream", node.Upstream)
+	checker.optional("listenGate", node.ListenGate)
+	checker.optional("listenLink", node.ListenLink)
 	checker.require(node.Retry.Share >= 0 && node.Retry.Slack >= 0, "retry", "must not be negative")
 	checker.levels(node.Log)
 	return checker.err
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -140,7 +141,7 @@
 // one with a new identity and asks to join.
 func (control *Control) Run(ctx context.Context) error {
 	defer control.pool.Release()
-	linkListener, err := net.Listen("tcp", control.settings.Link)
+	linkListener, err := net.Listen("tcp", cmp.Or(control.settings.ListenLink, control.settings.Link))
 	if err != nil {
 		return &config.Error{Key: "link", Reason: err.Error()}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -35,9 +36,9 @@
 		}
 		return listener
 	}
-	opened.link = open("link", node.settings.Link)
+	opened.link = open("link", cmp.Or(node.settings.ListenLink, node.settings.Link))
 	opened.callers = open("callers", node.settings.Callers)
-	opened.gate = open("gate", node.settings.Gate)
+	opened.gate = open("gate", cmp.Or(node.settings.ListenGate, node.settings.Gate))
 	opened.admin = open("admin", node.settings.Admin)
 	if node.settings.Ready != "" {
 		opened.ready = open("ready", node.settings.Ready)
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -29,13 +30,18 @@
 	// Address is where the upstream listens, Admin its node's admin address.
 	Address string
 	Admin   string
-	Slots   int
+	// Reach is the address that is announced, if calls are forwarded from there
+	// to Address.
+	Reach string
+	Slots int
 	// FailPermille is how many of a thousand calls answer with status 500.
 	FailPermille int
 	Delay        time.Duration
 	TTL          time.Duration
 	Now          func() time.Time
 	Random       *rand.Rand
+	// Seen is told of each call that comes in, before its work; it may be nil.
+	Seen func(request *fasthttp.RequestCtx)
 }
 
 // Upstream is a running stand-in.
@@ -101,7 +107,7 @@
 	body := wire.Must(wire.Announcement{
 		Service: upstream.settings.Service,
 		Version: upstream.settings.Version,
-		Address: address,
+		Address: cmp.Or(upstream.settings.Reach, address),
 		Slots:   upstream.settings.Slots,
 		TTL:     upstream.settings.TTL.String(),
 	})
@@ -151,6 +157,9 @@
 
 func (upstream *Upstream) call(request *fasthttp.RequestCtx) {
 	upstream.calls.Add(1)
+	if upstream.settings.Seen != nil {
+		upstream.settings.Seen(request)
+	}
 	if key := string(request.Request.Header.Peek(proxy.HeaderKey)); key != "" {
 		upstream.lock.Lock()
 		upstream.orders[key]++
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// By hand: go test ./internal/soak -run TestSoak -v -timeout 2h -first 1 -seeds 50 -controls 3 -nodes 4.
+var (
+	first    = flag.Uint64("first", 1, "the first seed to play")
+	seeds    = flag.Int("seeds", 1, "how many seeds to play")
+	controls = flag.Int("controls", 3, "control VMs in the fleet")
+	nodes    = flag.Int("nodes", 4, "nodes in the fleet")
+	keep     = flag.String("keep", "", "a folder for settings and logs of the seeds that fail")
+)
+
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "vpd")
+	output, err := exec.Command("go", "build", "-o", program, "github.com/vanillapulley/vanillapulley/cmd/vpd").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return program
+}
+
+func play(t *testing.T, seed uint64, vpd string) {
+	folder := t.TempDir()
+	if *keep != "" {
+		folder = filepath.Join(*keep, strconv.FormatUint(seed, 10))
+		require.NoError(t, os.RemoveAll(folder))
+		require.NoError(t, os.MkdirAll(folder, 0o755))
+	}
+	report, err := Run(context.Background(), seed, vpd, folder, *controls, *nodes)
+	require.NoError(t, err)
+	t.Logf("%d sends served, %d not, %d changes", report.Good, report.Bad, report.Changes)
+	if len(report.Wrong) > 0 {
+		t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(report.Wrong, "\n"), strings.Join(report.Faults, "\n"))
+		return
+	}
+	if *keep != "" {
+		require.NoError(t, os.RemoveAll(folder))
+	}
+}
+
+// TestSoak plays seeds one after the other.
+func TestSoak(t *testing.T) {
+	vpd := build(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { play(t, seed, vpd) })
+	}
+}
+
+// TestSeedsThatFailed plays each seed that ever failed: "SEED | cause" in
+// testdata/failed.txt.
+func TestSeedsThatFailed(t *testing.T) {
+	if testing.Short() {
+		t.Skip("each seed takes half a minute")
+	}
+	file, err := os.Open("testdata/failed.txt")
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	vpd := build(t)
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		text, _, ok := strings.Cut(lines.Text(), "|")
+		if !ok {
+			continue
+		}
+		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		require.NoError(t, err)
+		t.Run(strings.TrimSpace(text), func(t *testing.T) { play(t, seed, vpd) })
+	}
+}
