--- /dev/null
+++ b/internal/cmds/history.go
@@ -0,0 +1,127 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "history",
+		Usage:       "list the latest accepted changes, oldest first",
+		Description: "Example: vpctl history",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return show(ctx, c, "/v1/history", historyRows)
+		},
+	}
+}
+
+func historyRows(history wire.History) []string {
+	rows := []string{"VERSION\tAT\tNUMBER\tREQUEST\tCHANGES"}
+	for _, past := range history.Changes {
+		number := ""
+		if past.Number > 0 {
+			number = fmt.Sprint(past.Number)
+		}
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s\t%s", past.Version, past.At.Format(time.RFC3339Nano), number, past.Request, changesOf(past)))
+	}
+	return rows
+}
+
+// changesOf names what a change wrote and removed.
+func changesOf(past wire.Past) string {
+	var parts []string
+	for _, key := range past.Put {
+		parts = append(parts, "+"+key.Kind+"/"+key.Name)
+	}
+	for _, key := range past.Removed {
+		parts = append(parts, "-"+key.Kind+"/"+key.Name)
+	}
+	if past.More > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", past.More))
+	}
+	return strings.Join(parts, " ")
+}
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "diff",
+		Usage:       "tell what replacing all services and routes by a file's would change",
+		Description: "It changes nothing.\nExample: vpctl diff -f examples/whole.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE`"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			body, err := readWhole(c.String("file"))
+			if err != nil {
+				return err
+			}
+			api, bounded, cancel := connect(ctx, c)
+			defer cancel()
+			var present wire.ResourceList
+			if err := api.Get(bounded, "/v1/resources", &present); err != nil {
+				return err
+			}
+			rows, err := difference(body, present)
+			if err != nil {
+				return err
+			}
+			return table(c, rows)
+		},
+	}
+}
+
+// difference lists what a whole configuration changes: "+" is new, "-" goes,
+// "~" has another content.
+func difference(whole wire.ReplaceRequest, present wire.ResourceList) ([]string, error) {
+	held := map[wire.Key]wire.Resource{}
+	number := uint64(0)
+	for _, resource := range present.Resources {
+		value, err := resource.Domain()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		switch value := value.(type) {
+		case rsrc.Edition:
+			number = value.Number()
+		case rsrc.Service, rsrc.Route:
+			held[wire.Key{Kind: resource.Kind, Name: resource.Name}] = resource
+		}
+	}
+	var rows []string
+	for _, resource := range whole.Resources {
+		key := wire.Key{Kind: resource.Kind, Name: resource.Name}
+		value, err := resource.Domain()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		wanted := wire.FromResource(value)
+		old, ok := held[key]
+		delete(held, key)
+		switch {
+		case !ok:
+			rows = append(rows, fmt.Sprintf("+ %s/%s\t%s", key.Kind, key.Name, wanted.Spec))
+		case !bytes.Equal(old.Spec, wanted.Spec):
+			rows = append(rows, fmt.Sprintf("~ %s/%s\t%s\twas %s", key.Kind, key.Name, wanted.Spec, old.Spec))
+		}
+	}
+	for key := range held {
+		rows = append(rows, fmt.Sprintf("- %s/%s", key.Kind, key.Name))
+	}
+	slices.Sort(rows)
+	if whole.Base != number {
+		rows = append(rows, fmt.Sprintf("conflict: the configuration in force is %d, the file builds on %d", number, whole.Base))
+	}
+	return rows, nil
+}
--- a/internal/cmds/vpctl.go
+++ b/internal/cmds/vpctl.go
@@ -39,7 +39,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), getCommand(), watchCommand(), rolloutCommand(),
-			rollbackCommand(), replaceCommand(), shiftCommand(), membersCommand(), statusCommand(),
+			rollbackCommand(), replaceCommand(), diffCommand(), historyCommand(), shiftCommand(), membersCommand(), statusCommand(),
 			checkCommand(), explainCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/cmds/whole.go
+++ b/internal/cmds/whole.go
@@ -21,19 +21,28 @@
 			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			data, err := os.ReadFile(c.String("file"))
+			body, err := readWhole(c.String("file"))
 			if err != nil {
-				return trace.ConvertSystemError(err)
-			}
-			var body wire.ReplaceRequest
-			if err := wire.Strict(data, &body); err != nil {
-				return trace.BadParameter("%s: %s", c.String("file"), err)
+				return err
 			}
 			return order(ctx, c, "/v1/replace", body, fmt.Sprintf("configuration %d is accepted", body.Number))
 		},
 	}
 }
 
+// readWhole reads the file of a whole configuration.
+func readWhole(file string) (wire.ReplaceRequest, error) {
+	var body wire.ReplaceRequest
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return body, trace.ConvertSystemError(err)
+	}
+	if err := wire.Strict(data, &body); err != nil {
+		return body, trace.BadParameter("%s: %s", file, err)
+	}
+	return body, nil
+}
+
 func shiftCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "shift",
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -55,6 +55,8 @@
 		control.rollback(ctx, request)
 	case method == "GET" && strings.HasPrefix(path, "/v1/resources"):
 		control.read(ctx, request, strings.TrimPrefix(path, "/v1/resources"))
+	case method == "GET" && path == "/v1/history":
+		control.history(ctx, request)
 	case method == "GET" && path == "/v1/watch":
 		control.watch(request)
 	case method == "GET" && path == "/v1/members":
@@ -314,6 +316,15 @@
 	reply(request, list)
 }
 
+// history tells of the latest accepted changes, confirmed fresh by a quorum.
+func (control *Control) history(ctx context.Context, request *fasthttp.RequestCtx) {
+	if _, err := control.replica.Fresh(ctx); err != nil {
+		unavailable(request, err)
+		return
+	}
+	reply(request, wire.History{Changes: control.replica.history()})
+}
+
 // watch waits for a version above "from" and answers with what changed since.
 // It answers with an empty list when nothing changed in time.
 func (control *Control) watch(request *fasthttp.RequestCtx) {
--- a/internal/ctrl/replica.go
+++ b/internal/ctrl/replica.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -312,6 +313,13 @@
 	return !view.alive || replica.now().Sub(view.at) > staleAfter
 }
 
+// history returns the latest accepted changes as applied here.
+func (replica *replica) history() []wire.Past {
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	return slices.Clone(replica.store.History())
+}
+
 // config returns the configuration as applied here.
 func (replica *replica) config() *rsrc.Config {
 	replica.lock.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,13 @@
 // forgotten first.
 const MaxAnswered = 4096
 
+// MaxHistory bounds the history of versions; maxNamed how many resources of one
+// change it names.
+const (
+	MaxHistory = 100
+	maxNamed   = 20
+)
+
 // Store holds the state after the last applied entry. It is not safe for
 // concurrent use; the configuration it returns is immutable.
 type Store struct {
@@ -27,6 +34,8 @@
 	answered map[string]wire.Answered
 	// order lists the request ids, oldest first, at most MaxAnswered.
 	order []string
+	// history lists accepted changes, oldest first, at most MaxHistory.
+	history []wire.Past
 }
 
 // New returns an empty store.
@@ -84,9 +93,38 @@
 		return refusal(err)
 	}
 	store.config = config
+	store.remember(index, command, change)
 	return wire.Result{Code: wire.CodeOK, Version: index}
 }
 
+// remember adds an accepted change to the history.
+func (store *Store) remember(index uint64, command wire.Command, change rsrc.Change) {
+	past := wire.Past{Version: index, At: command.At, Request: command.RequestID}
+	name := func(keys []wire.Key, key rsrc.Key) []wire.Key {
+		if len(past.Put)+len(past.Removed) >= maxNamed {
+			past.More++
+			return keys
+		}
+		return append(keys, wire.FromKey(key))
+	}
+	for _, resource := range change.Put {
+		if edition, ok := resource.(rsrc.Edition); ok {
+			past.Number = edition.Number()
+			continue
+		}
+		past.Put = name(past.Put, resource.Key())
+	}
+	for _, key := range change.Remove {
+		past.Removed = name(past.Removed, key)
+	}
+	store.history = append(store.history, past)
+	store.history = store.history[max(0, len(store.history)-MaxHistory):]
+}
+
+// History returns the latest accepted changes, oldest first. The caller must
+// not change it.
+func (store *Store) History() []wire.Past { return store.history }
+
 // dropEndedRollouts removes the history of rollouts along with their route, and
 // any rollout along with its service.
 func (store *Store) dropEndedRollouts(change *rsrc.Change) {
@@ -144,7 +182,7 @@
 
 // Snapshot encodes the whole state.
 func (store *Store) Snapshot() []byte {
-	state := wire.State{Config: wire.FromConfig(store.config)}
+	state := wire.State{Config: wire.FromConfig(store.config), History: store.history}
 	for _, id := range store.order {
 		state.Answered = append(state.Answered, store.answered[id])
 	}
@@ -167,6 +205,7 @@
 	store.config = config
 	store.answered = make(map[string]wire.Answered, len(state.Answered))
 	store.order = nil
+	store.history = state.History
 	for _, answered := range state.Answered {
 		store.record(answered)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -46,6 +46,26 @@
 	require.Equal(t, refused, apply(t, store, 6, put("c", 3, 3, "s")), "a refusal is remembered too")
 }
 
+func TestTheHistoryNamesWhatWasAccepted(t *testing.T) {
+	store := New()
+	apply(t, store, 3, put("a", 1, 0, "s"))
+	apply(t, store, 4, put("b", 2, 0, "s"))
+	apply(t, store, 5, put("a", 1, 0, "s"))
+	history := store.History()
+	require.Len(t, history, 1, "a refusal and a resend are no changes")
+	require.Equal(t, wire.Past{Version: 3, At: time.Unix(1000, 0).UTC(), Request: "a", Put: []wire.Key{{Kind: "service", Name: "s"}}}, utc(history[0]))
+	for i := range uint64(MaxHistory) {
+		apply(t, store, 10+i, put(fmt.Sprint(i), i, 0, fmt.Sprintf("t%d", i)))
+	}
+	require.Len(t, store.History(), MaxHistory)
+	require.Equal(t, uint64(10), store.History()[0].Version)
+}
+
+func utc(past wire.Past) wire.Past {
+	past.At = past.At.UTC()
+	return past
+}
+
 func TestASnapshotCarriesEverything(t *testing.T) {
 	store := New()
 	for i := range uint64(MaxAnswered + 10) {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -56,10 +56,29 @@
 	Result    Result `json:"result"`
 }
 
+// Past is an accepted change in the history of versions.
+type Past struct {
+	Version uint64    `json:"version"`
+	At      time.Time `json:"at"`
+	Request string    `json:"request"`
+	// Number is the operators' own if the change was a whole configuration.
+	Number  uint64 `json:"number,omitempty"`
+	Put     []Key  `json:"put,omitempty"`
+	Removed []Key  `json:"removed,omitempty"`
+	// More counts the resources that are left out of Put and Removed.
+	More int `json:"more,omitempty"`
+}
+
+// History answers GET /v1/history, oldest first.
+type History struct {
+	Changes []Past `json:"changes"`
+}
+
 // State is the written form of the whole replicated state.
 type State struct {
 	Config   Config     `json:"config"`
 	Answered []Answered `json:"answered"`
+	History  []Past     `json:"history,omitempty"`
 }
 
 // Resources converts the command's writes.
