--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -3,37 +3,38 @@
 package budget
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
 
 	"github.com/gravitational/trace"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
 // Point is one measurement.
 type Point struct {
-	Size  float64 `json:"size"`
-	Value float64 `json:"value"`
+	Size  float64
+	Value float64
 }
 
 // Figure is one row of the page: a quantity measured at several sizes.
 type Figure struct {
-	Role  string  `json:"role"`
-	Name  string  `json:"name"`
-	Unit  string  `json:"unit"`
-	Limit float64 `json:"limit"`
+	Role  string
+	Name  string
+	Unit  string
+	Limit float64
 	// Mechanism names what carries the figure.
-	Mechanism string `json:"mechanism"`
+	Mechanism string
 	// Source is the command that gives the points, from the repository's root.
-	Source string  `json:"source"`
-	Points []Point `json:"points"`
+	Source string
+	Points []Point
 }
 
 // Plan is all figures and the size to work them out for.
 type Plan struct {
-	Size    float64  `json:"size"`
-	Figures []Figure `json:"figures"`
+	Size    float64
+	Figures []Figure
 }
 
 // minPoints is how many sizes a slope needs.
@@ -41,12 +42,15 @@
 
 // Read decodes a plan and checks it.
 func Read(in io.Reader) (Plan, error) {
-	var plan Plan
-	decoder := json.NewDecoder(in)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&plan); err != nil {
-		return plan, trace.Wrap(err)
+	data, err := io.ReadAll(in)
+	if err != nil {
+		return Plan{}, trace.Wrap(err)
+	}
+	var written wire.Plan
+	if err := wire.Strict(data, &written); err != nil {
+		return Plan{}, trace.Wrap(err)
 	}
+	plan := planOf(written)
 	for _, figure := range plan.Figures {
 		if len(figure.Points) < minPoints {
 			return plan, trace.BadParameter("%s, %s: %d sizes, a slope needs %d", figure.Role, figure.Name, len(figure.Points), minPoints)
@@ -55,6 +59,19 @@
 	return plan, nil
 }
 
+// planOf converts a written plan.
+func planOf(written wire.Plan) Plan {
+	plan := Plan{Size: written.Size}
+	for _, row := range written.Figures {
+		figure := Figure{Role: row.Role, Name: row.Name, Unit: row.Unit, Limit: row.Limit, Mechanism: row.Mechanism, Source: row.Source}
+		for _, point := range row.Points {
+			figure.Points = append(figure.Points, Point(point))
+		}
+		plan.Figures = append(plan.Figures, figure)
+	}
+	return plan
+}
+
 // Line is a least-squares line through the points.
 func (figure Figure) Line() (slope, offset float64) {
 	count, sumX, sumY, sumXX, sumXY := float64(len(figure.Points)), 0.0, 0.0, 0.0, 0.0
--- /dev/null
+++ b/internal/cmds/apply.go
@@ -0,0 +1,108 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/client"
+)
+
+func readResources(file string) ([]wire.Resource, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var content wire.ResourceFile
+	if err := wire.Strict(data, &content); err != nil {
+		return nil, trace.BadParameter("%s: %s", file, err)
+	}
+	for _, resource := range content.Resources {
+		if _, err := resource.Domain(); err != nil {
+			return nil, trace.BadParameter("%s: %s", file, err)
+		}
+	}
+	return content.Resources, nil
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "apply",
+		Usage:       "write the resources of a file, all or none",
+		Description: "Example: vpctl apply -f examples/resources.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE` of resources"},
+			requestFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			resources, err := readResources(c.String("file"))
+			if err != nil {
+				return err
+			}
+			content := wire.Must(resources)
+			api, bounded, cancel := connect(ctx, c)
+			defer cancel()
+			var present wire.ResourceList
+			if err := api.Get(bounded, "/v1/resources", &present); err != nil {
+				return err
+			}
+			body := wire.ApplyRequest{Resources: withRevisions(resources, present)}
+			var result wire.Result
+			identity := client.Request{ID: c.String("request-id"), Content: string(content)}
+			if err := api.Post(bounded, "/v1/apply", identity, body, &result); err != nil {
+				return err
+			}
+			if wantsJSON(c) {
+				return printJSON(c, result)
+			}
+			_, _ = fmt.Fprintf(c.Root().Writer, "accepted %d resources as version %d\n", len(resources), result.Version)
+			return nil
+		},
+	}
+}
+
+// withRevisions bases the resources that state no revision on the present
+// ones.
+func withRevisions(resources []wire.Resource, present wire.ResourceList) []wire.Resource {
+	revisions := map[wire.Key]uint64{}
+	for _, resource := range present.Resources {
+		revisions[wire.Key{Kind: resource.Kind, Name: resource.Name}] = resource.Revision
+	}
+	for i, resource := range resources {
+		if resource.Revision == 0 {
+			resources[i].Revision = revisions[wire.Key{Kind: resource.Kind, Name: resource.Name}]
+		}
+	}
+	return resources
+}
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "get",
+		Usage:       "read resources, fresh from a quorum",
+		ArgsUsage:   "[KIND [NAME]]",
+		Description: "Examples: vpctl get; vpctl get route; vpctl get -o json rollout timetable",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := strings.Join(append([]string{"/v1/resources"}, c.Args().Slice()...), "/")
+			return show(ctx, c, path, rowsOf)
+		},
+	}
+}
+
+func rowsOf(list wire.ResourceList) []string {
+	rows := []string{"KIND\tNAME\tREVISION\tSPEC"}
+	for _, resource := range list.Resources {
+		spec := string(resource.Spec)
+		if line, ok := rolloutLine(resource); ok {
+			spec = line
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%s", resource.Kind, resource.Name, resource.Revision, spec))
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/cmds/rollout.go
@@ -0,0 +1,190 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
+	"github.com/vanillapulley/vanillapulley/pkg/client"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// rolloutLine describes a rollout's latest step.
+func rolloutLine(resource wire.Resource) (string, bool) {
+	rollout, ok := asRollout(resource)
+	if !ok {
+		return "", false
+	}
+	last := rollout.Last()
+	return fmt.Sprintf("%s -> %s: %s at %.1f%%, %s", rollout.From(), rollout.To(), last.State, float64(last.Share)/10, last.Cause), true
+}
+
+func asRollout(resource wire.Resource) (rsrc.Rollout, bool) {
+	if resource.Kind != string(rsrc.KindRollout) {
+		return rsrc.Rollout{}, false
+	}
+	value, err := resource.Domain()
+	if err != nil {
+		return rsrc.Rollout{}, false
+	}
+	rollout, ok := value.(rsrc.Rollout)
+	return rollout, ok
+}
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "watch",
+		Usage:       "tell of every change, or of one route's rollout until it has ended",
+		ArgsUsage:   "[ROUTE]",
+		Description: "Examples: vpctl watch; vpctl watch timetable",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "from", Usage: "the `VERSION` after which to start"},
+			outputFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			api := client.New(c.StringSlice("api"))
+			return follow(ctx, c, api, c.Uint64("from"), c.Args().First())
+		},
+	}
+}
+
+// follow prints changes; with a route it ends with the route's rollout.
+func follow(ctx context.Context, c *cli.Command, api *client.Client, from uint64, route string) error {
+	for {
+		var list wire.ResourceList
+		if err := api.Watch(ctx, from, &list); err != nil {
+			return err
+		}
+		from = max(from, list.Version)
+		for _, resource := range list.Resources {
+			if route != "" && (resource.Kind != string(rsrc.KindRollout) || resource.Name != route) {
+				continue
+			}
+			if err := printChange(c, resource); err != nil {
+				return err
+			}
+			if rollout, ok := asRollout(resource); ok && route != "" && rollout.Last().State.Ended() {
+				return ending(rollout)
+			}
+		}
+	}
+}
+
+func printChange(c *cli.Command, resource wire.Resource) error {
+	if wantsJSON(c) {
+		return trace.Wrap(json.NewEncoder(c.Root().Writer).Encode(resource))
+	}
+	line, ok := rolloutLine(resource)
+	if !ok {
+		line = string(resource.Spec)
+	}
+	_, err := fmt.Fprintf(c.Root().Writer, "%d %s/%s %s\n", resource.Revision, resource.Kind, resource.Name, line)
+	return trace.Wrap(err)
+}
+
+func ending(rollout rsrc.Rollout) error {
+	if last := rollout.Last(); last.State != rsrc.StateFinished {
+		return &rolledBackError{state: string(last.State), cause: last.Cause}
+	}
+	return nil
+}
+
+func rolloutCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "rollout",
+		Usage:       "shift a route to another version by a time",
+		ArgsUsage:   "ROUTE",
+		Description: "Examples: vpctl rollout timetable --to v2 --by 17:00; vpctl rollout timetable --to v2 --by 2h --wait",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "to", Required: true, Usage: "the new `VERSION`"},
+			&cli.StringFlag{Name: "by", Required: true, Usage: "the deadline: a `TIME` such as 17:00, 2026-01-31T17:00:00Z or 2h from now"},
+			&cli.BoolFlag{Name: "wait", Usage: "show the progress until the rollout has ended"},
+			requestFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			route, err := oneArgument(c, "ROUTE")
+			if err != nil {
+				return err
+			}
+			by, err := parseTime(c.String("by"), time.Now())
+			if err != nil {
+				return err
+			}
+			api, bounded, cancel := connect(ctx, c)
+			defer cancel()
+			var result wire.Result
+			body := wire.RolloutRequest{Route: route, To: c.String("to"), By: by}
+			identity := client.Request{ID: c.String("request-id"), Content: strings.Join([]string{route, body.To, c.String("by")}, " ")}
+			if err := api.Post(bounded, "/v1/rollouts", identity, body, &result); err != nil {
+				return err
+			}
+			if wantsJSON(c) {
+				if err := printJSON(c, result); err != nil {
+					return err
+				}
+			} else {
+				_, _ = fmt.Fprintf(c.Root().Writer, "accepted as version %d, due %s\n", result.Version, by.Format(time.RFC3339))
+			}
+			if !c.Bool("wait") {
+				return nil
+			}
+			return follow(ctx, c, api, result.Version-1, route)
+		},
+	}
+}
+
+// parseTime reads a time of day, a full time or a duration from now.
+func parseTime(text string, now time.Time) (time.Time, error) {
+	if duration, err := time.ParseDuration(text); err == nil {
+		return now.Add(duration), nil
+	}
+	if full, err := time.Parse(time.RFC3339, text); err == nil {
+		return full, nil
+	}
+	clock, err := time.ParseInLocation("15:04", text, now.Location())
+	if err != nil {
+		return time.Time{}, trace.BadParameter("--by: %q is not a time such as 17:00, 2026-01-31T17:00:00Z or 2h", text)
+	}
+	by := time.Date(now.Year(), now.Month(), now.Day(), clock.Hour(), clock.Minute(), 0, 0, now.Location())
+	if by.Before(now) {
+		by = by.AddDate(0, 0, 1)
+	}
+	return by, nil
+}
+
+func rollbackCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "rollback",
+		Usage:       "take a route's rollout back",
+		ArgsUsage:   "ROUTE",
+		Description: "Example: vpctl rollback timetable --cause \"wrong fonts\"",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "cause", Usage: "why, for those who watch"},
+			requestFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			route, err := oneArgument(c, "ROUTE")
+			if err != nil {
+				return err
+			}
+			api, bounded, cancel := connect(ctx, c)
+			defer cancel()
+			var result wire.Result
+			body := wire.RollbackRequest{Route: route, Cause: c.String("cause")}
+			if err := api.Post(bounded, "/v1/rollbacks", client.Request{ID: c.String("request-id")}, body, &result); err != nil {
+				return err
+			}
+			if wantsJSON(c) {
+				return printJSON(c, result)
+			}
+			_, _ = fmt.Fprintf(c.Root().Writer, "rolled back as version %d\n", result.Version)
+			return nil
+		},
+	}
+}
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -50,11 +50,6 @@
 	Name string
 }
 
-type identityRecord struct {
-	ID   string `json:"id"`
-	Name string `json:"name"`
-}
-
 // Disk is an open data folder. One process has it at a time. It is not safe
 // for concurrent use.
 type Disk struct {
@@ -87,7 +82,7 @@
 		return err
 	}
 	// The identity comes last: without it the folder counts as empty.
-	return writeSynced(folder, identityFile, wire.Must(identityRecord(identity)))
+	return writeSynced(folder, identityFile, wire.Must(wire.Identity{ID: identity.ID, Name: identity.Name}))
 }
 
 // NewID returns a replica id that was never used before.
@@ -159,7 +154,7 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	var record identityRecord
+	var record wire.Identity
 	if err := json.Unmarshal(data, &record); err != nil || record.ID == "" {
 		return &CorruptError{File: disk.path(identityFile), Reason: "no identity"}
 	}
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -120,6 +120,12 @@
 	Replicas []Member `json:"replicas"`
 }
 
+// ResourceFile is what operators write in files: resources without revisions
+// are written over what is there now.
+type ResourceFile struct {
+	Resources []Resource `json:"resources"`
+}
+
 // MemberList answers GET /v1/members.
 type MemberList struct {
 	Members []NodeMember `json:"members"`
--- a/internal/wire/raft.go
+++ b/internal/wire/raft.go
@@ -164,3 +164,9 @@
 	}
 	return message
 }
+
+// Identity is the written form of whose disk a data folder is.
+type Identity struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -13,6 +13,8 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
 // Code classifies a refusal.
@@ -45,12 +47,6 @@
 	return err.Path + ": " + err.Reason
 }
 
-type refusalBody struct {
-	Code   Code   `json:"code"`
-	Path   string `json:"path"`
-	Reason string `json:"reason"`
-}
-
 // Timing of the client.
 const (
 	tryTimeout   = 12 * time.Second
@@ -146,9 +142,9 @@
 	if response.StatusCode() == fasthttp.StatusOK {
 		return trace.Wrap(json.Unmarshal(response.Body(), result))
 	}
-	var refusal refusalBody
+	var refusal wire.APIError
 	if err := json.Unmarshal(response.Body(), &refusal); err != nil {
 		return trace.Wrap(err, "status %d", response.StatusCode())
 	}
-	return &RefusalError{Code: refusal.Code, Path: refusal.Path, Reason: refusal.Reason}
+	return &RefusalError{Code: Code(refusal.Code), Path: refusal.Path, Reason: refusal.Reason}
 }
