A nested call is no more urgent than the call that it serves

Ruled out: too short queues (refused at 12 to 39 waiting), the objective of the nested route alone.

Change: a node knows the calls that its own upstream works on; a call that comes in under the id of one of them, or that id, a dot and more, takes its rank if that is less urgent. An error answer whose upstream had a call refused by full gates blames no target; it is still repeated within the budget.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -32,6 +32,9 @@
 	ctx, cancel := context.WithDeadline(ctx, call.started.Add(timeout))
 	defer cancel()
 	ended := node.run(ctx, call)
+	if ended.outcome == proxy.OutcomeNotRun && ended.full {
+		node.parents.starve(call.id)
+	}
 	node.stats.Call(call.customer, call.class, string(ended.outcome), node.now().Sub(call.started))
 	node.explain(ctx, call, ended)
 }
@@ -166,7 +169,7 @@
 // cost; everything else needs the retry budget.
 func (node *Node) again(ctx context.Context, call *call, result result) (time.Duration, bool) {
 	// A keyed call's answer stays the same however often it is asked for.
-	good := result.outcome == proxy.OutcomeRan && (result.learned != picker.ResultFailed || call.class == classKeyed)
+	good := result.outcome == proxy.OutcomeRan && (result.learned != picker.ResultFailed && !result.starved || call.class == classKeyed)
 	// An unknown outcome is final for a keyed call; a read may simply be read
 	// again.
 	final := result.final && (call.class != classRead || result.outcome != proxy.OutcomeUnknown)
@@ -225,7 +228,7 @@
 	header.Set(proxy.HeaderService, call.service)
 	header.Set(proxy.HeaderVersion, target.Version)
 	header.Set(proxy.HeaderCaller, node.live.Load().service)
-	header.Set(proxy.HeaderPriority, strconv.Itoa(call.route.Priority()))
+	header.Set(proxy.HeaderPriority, strconv.Itoa(node.parents.rank(call.id, call.route.Priority())))
 	if !patient {
 		header.Set(proxy.HeaderQueue, "no")
 	}
@@ -268,6 +271,7 @@
 	if ended.outcome == proxy.OutcomeRan {
 		response.CopyTo(&call.request.Response)
 		call.request.Response.Header.Del(proxy.HeaderLoad)
+		call.request.Response.Header.Del(proxy.HeaderStarved)
 		call.request.Response.Header.ResetConnectionClose()
 		node.dialect.Ran(&call.request.Response)
 		return ended
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -368,8 +368,14 @@
 	id := string(outgoing.Header.Peek(proxy.HeaderRequest))
 	deadline, _ := ctx.Deadline()
 	gate.node.dialect.Handover(outgoing, Handover{Timeout: deadline.Sub(started), UpstreamID: target.ID, CallerService: caller})
+	gate.node.parents.begin(id, priority)
 	err := gate.node.targets.Do(ctx, target.Address, outgoing, &request.Response)
-	return gate.conclude(ctx, target, id, request, err)
+	starved := gate.node.parents.end(id)
+	outcome := gate.conclude(ctx, target, id, request, err)
+	if starved && outcome == proxy.OutcomeRan {
+		request.Response.Header.Set(proxy.HeaderStarved, "yes")
+	}
+	return outcome
 }
 
 // gateHeaders are for the gate only.
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -29,6 +29,9 @@
 	full bool
 	// retryAfter is the pause that an upstream asked for.
 	retryAfter time.Duration
+	// starved is true for an error answer of an upstream that had a call of its
+	// own refused for want of room.
+	starved bool
 	// room is when a gate that refused expects a free slot.
 	room time.Duration
 }
@@ -52,6 +55,10 @@
 		if response.StatusCode() >= fasthttp.StatusInternalServerError {
 			judged.learned = picker.ResultFailed
 			judged.retryAfter = retryAfter(response)
+			if len(response.Header.Peek(proxy.HeaderStarved)) > 0 {
+				// It says nothing about this upstream.
+				judged.learned, judged.starved = picker.ResultCanceled, true
+			}
 		}
 	case proxy.OutcomeNotRun:
 		judged.learned = picker.ResultRefused
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,7 @@
 	changed atomic.Bool
 	gate    *gate
 	claims  *claims
+	parents *parents
 	guard   *guard
 	ctx     context.Context
 
@@ -190,6 +191,7 @@
 	node.live.Store(&live{control: deps.Settings.Control, service: deps.Settings.Service})
 	node.gate = newGate(node)
 	node.claims = newClaims(node, started)
+	node.parents = newParents()
 	node.guard = newGuard(node)
 	core := distr.New(distr.Settings{
 		Name:        deps.Settings.Name,
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -40,6 +40,9 @@
 	// HeaderRetry is, between nodes, the time until a refused call may find
 	// room, in milliseconds.
 	HeaderRetry = "Vp-Retry-Ms"
+	// HeaderStarved is set, between nodes, on an answer whose upstream had a
+	// call of its own refused for want of room.
+	HeaderStarved = "Vp-Starved"
 	// HeaderTarget names the target that answered.
 	HeaderTarget = "Vp-Target"
 )
