Rollouts of whole services: time for an order that came on a later try

Ruled out: clocks of the control VMs (the steps' times agree), a lack of targets.

Change: 1.8 s instead of 1 s are kept before the deadline; a last step that came late is watched for less, 1.5 s at least. Both tests failed first (done within the deadline less 1.2 s; a leader that starts 2.2 s before it).

--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -63,8 +63,10 @@
 const (
 	withinDwell = 14
 	withinWatch = 6
-	// reserve is kept between the last decision and the deadline.
-	reserve = time.Second
+	// reserve is kept between the last decision and the deadline: the operator
+	// counts from the first try of the order, which may be accepted on a later
+	// one.
+	reserve = 1800 * time.Millisecond
 	// coldStart is how long new targets are slow.
 	coldStart = 3500 * time.Millisecond
 )
@@ -435,14 +437,30 @@
 	return limit
 }
 
+// wholeWatch is how long the new version of a whole service is watched: less if
+// the last step came late, as after a change of leaders.
+func (controller *Controller) wholeWatch(by time.Time) time.Duration {
+	left := by.Sub(controller.stepped) - lastMoment
+	return max(leastWatch, min(controller.timing.Watch, left))
+}
+
+const (
+	// leastWatch is the time from a failing version's first calls until they
+	// show, with a large share.
+	leastWatch = 1500 * time.Millisecond
+	// lastMoment is the time for the last step to be agreed on and read.
+	lastMoment = 300 * time.Millisecond
+)
+
 // watch ends the rollout when nothing bad was seen for long enough.
 func (controller *Controller) watch(now time.Time, input Input) (rsrc.Step, bool) {
-	since := input.Rollout.Finished()
+	since, span := input.Rollout.Finished(), controller.timing.Watch
 	if controller.timing.Whole {
 		// The steady clock of this leader; the order's own time may jump.
 		since = controller.stepped
+		span = controller.wholeWatch(input.Rollout.By())
 	}
-	if now.Sub(since) < controller.timing.Watch {
+	if now.Sub(since) < span {
 		return rsrc.Step{}, false
 	}
 	return step(now, rsrc.StateFinished, rsrc.FullShare, "nothing bad was seen while watching"), true
--- a/internal/canary/whole_test.go
+++ b/internal/canary/whole_test.go
@@ -108,6 +108,10 @@
 	return outcome
 }
 
+// repeatedOrder is how much later than the operator's first try an order may be
+// accepted, while the operator counts from the first: seen on an incident.
+const repeatedOrder = 1200 * time.Millisecond
+
 func TestWholeServicesFinishInTime(t *testing.T) {
 	const runs = 200
 	for _, rate := range []float64{40, 100, 240} {
@@ -115,7 +119,8 @@
 			good := behaviour{errors: always(oldErrors), factor: 1}
 			inTime := 0
 			for seed := range uint64(runs) {
-				if outcome := playWhole(seed, rate, good); outcome.state == rsrc.StateFinished {
+				outcome := playWhole(seed, rate, good)
+				if outcome.state == rsrc.StateFinished && outcome.took <= wholeWithin-repeatedOrder {
 					inTime++
 				}
 			}
@@ -124,6 +129,37 @@
 	}
 }
 
+// TestALateLeaderFinishesInTime has a leader that starts afresh shortly before
+// the deadline, when there is no time for all of the watch.
+func TestALateLeaderFinishesInTime(t *testing.T) {
+	world := &world{random: rand.New(rand.NewPCG(1, 7))}
+	begun := time.Unix(1_000_000, 0)
+	rollout := rsrc.NewServiceRollout("s", "v2", wholeWithin, begun)
+	canary, err := rollout.Advance(rsrc.Step{State: rsrc.StateCanary, Share: 80, At: begun.Add(time.Second)})
+	require.NoError(t, err)
+	rollout = canary
+	started := wholeWithin - 2200*time.Millisecond
+	controller := New(rsrc.PolicyCompletion, WithinTiming(wholeWithin), begun.Add(started))
+	for passed := started + wholeStep; passed < wholeWithin; passed += wholeStep {
+		calls, fresh := world.poisson(100*wholeStep.Seconds()), 0
+		for range calls {
+			if world.random.IntN(rsrc.FullShare) < rollout.Share() {
+				fresh++
+			}
+		}
+		step, ok := controller.Decide(begun.Add(passed), Input{
+			Rollout: rollout, Before: world.draw(calls-fresh, oldErrors, 1), After: world.draw(fresh, oldErrors, 1),
+			Targets: 3, Slots: 36, MinTargets: 1,
+		})
+		if !ok {
+			continue
+		}
+		rollout, err = rollout.Advance(step)
+		require.NoError(t, err)
+	}
+	require.Equal(t, rsrc.StateFinished, rollout.Last().State)
+}
+
 func TestBadVersionsOfAWholeServiceGetFewCalls(t *testing.T) {
 	const runs = 200
 	for _, behaviour := range badBehaviours {
