Joiners wait at a control VM that looks for its leader

Ruled out: the election itself (0.34 s), the updates (10 ms after the join).

Change: a stale root lets a joiner wait for 250 ms and takes it in when it is no longer stale; roots look every 30 ms instead of 100. Test failed first.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -305,14 +305,14 @@
 }
 
 // followEvery is how often a root looks who leads.
-const followEvery = 100 * time.Millisecond
+const followEvery = 30 * time.Millisecond
 
 // follow makes the present leader the parent of this root, so that reports
 // come together there.
 func (control *Control) follow(ctx context.Context) error {
 	return tasks.Every(ctx, followEvery, func() {
 		stale := control.replica.stale()
-		control.tree.Do(func(core *distr.Core, _ time.Time) { core.SetStale(stale) })
+		control.tree.Do(func(core *distr.Core, now time.Time) { core.SetStale(now, stale) })
 		var parents []string
 		if leader := control.replica.leader(); leader.Address != "" && !control.replica.leads() {
 			parents = []string{leader.Address}
--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -28,6 +28,10 @@
 	reported bool
 	// news holds records that wait to be sent, by name.
 	news map[string]member.Record
+	// waiting is the request to be a child that a stale root has not answered
+	// yet, since waitingAt.
+	waiting   *Hello
+	waitingAt time.Time
 }
 
 // floorAnswer is what one peer said of its version.
@@ -166,6 +170,7 @@
 // Tick lets time pass. Call it at least every Coalesce.
 func (core *Core) Tick(now time.Time) {
 	core.spread(core.table.Tick(now), nil)
+	core.refuseWaiting(now)
 	core.findParent(now)
 	core.keepLaterals(now)
 	if !now.Before(core.compareAt) {
@@ -251,12 +256,13 @@
 
 // SetStale tells a root whether it lost touch with the source. A stale root
 // sends its children away, since it would keep them from the news.
-func (core *Core) SetStale(stale bool) {
+func (core *Core) SetStale(now time.Time, stale bool) {
 	if core.stale == stale {
 		return
 	}
 	core.stale = stale
 	if !stale {
+		core.admitWaiting(now)
 		return
 	}
 	for _, child := range core.withRole(RoleChild) {
--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -18,6 +18,10 @@
 // joinRetryAfter is how long a root without a token for a joiner sends it away.
 const joinRetryAfter = 200 * time.Millisecond
 
+// joinPatience is how long a stale root lets a joiner wait: a leader is found
+// within that time after most restarts.
+const joinPatience = 250 * time.Millisecond
+
 // finder is the search for a parent and for lateral peers.
 type finder struct {
 	// dialling maps an address to the role wanted of it.
@@ -210,7 +214,16 @@
 		core.decideLateral(from)
 		return
 	}
-	if core.settings.Root && (core.stale || !core.takeToken(now)) {
+	if core.settings.Root && core.stale {
+		from.waiting, from.waitingAt = &hello, now
+		return
+	}
+	core.admit(now, from, hello)
+}
+
+// admit answers a node that asks to be a child.
+func (core *Core) admit(now time.Time, from *link, hello Hello) {
+	if core.settings.Root && !core.takeToken(now) {
 		core.welcome(from, Welcome{RetryAfter: core.jitter(joinRetryAfter)})
 		return
 	}
@@ -221,6 +234,28 @@
 	core.decide(from, Welcome{})
 }
 
+// admitWaiting answers all that asked while this root was stale. After a restart
+// of everything each node is served as soon as one root is.
+func (core *Core) admitWaiting(now time.Time) {
+	for _, link := range core.sorted() {
+		if hello := link.waiting; hello != nil {
+			link.waiting = nil
+			core.admit(now, link, *hello)
+		}
+	}
+}
+
+// refuseWaiting sends those away that have waited for long; another root may
+// have found the source.
+func (core *Core) refuseWaiting(now time.Time) {
+	for _, link := range core.sorted() {
+		if link.waiting != nil && now.Sub(link.waitingAt) >= joinPatience {
+			link.waiting = nil
+			core.welcome(link, Welcome{RetryAfter: core.settings.Timing.Coalesce})
+		}
+	}
+}
+
 // decideLateral takes a bounded number of lateral connections from others, so
 // that a node that many know first does not carry them all. A refusal tells
 // the version here all the same.
--- a/internal/distr/join_test.go
+++ b/internal/distr/join_test.go
@@ -35,7 +35,7 @@
 	}
 	hello(1)
 	require.Equal(t, 1, root.Children())
-	root.SetStale(true)
+	root.SetStale(now, true)
 	require.Zero(t, root.Children())
 	bye := slices.ContainsFunc(root.Take(), func(action Action) bool { return action.Send != nil && action.Send.Bye })
 	require.True(t, bye, "the child need not wait for silence")
@@ -46,11 +46,38 @@
 		}
 	}
 	require.Zero(t, root.Children())
-	root.SetStale(false)
+	root.SetStale(now, false)
 	hello(3)
 	require.Equal(t, 1, root.Children())
 }
 
+// TestJoinersWaitForARootThatFindsItsLeader restarts everything: a node asks a
+// control VM before there is a leader, and must be taken in once there is one,
+// without asking again; one that waits for long is sent elsewhere.
+func TestJoinersWaitForARootThatFindsItsLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	root := newRoot(t, now)
+	root.SetStale(now, true)
+	root.Accepted(1)
+	root.Receive(now, 1, Message{Hello: &Hello{Name: "n1", Version: 1}})
+	now = now.Add(joinPatience / 2)
+	root.Tick(now)
+	root.SetStale(now, false)
+	require.Equal(t, 1, root.Children())
+
+	root.SetStale(now, true)
+	root.Take()
+	root.Accepted(2)
+	root.Receive(now, 2, Message{Hello: &Hello{Name: "n2", Version: 1}})
+	root.Tick(now.Add(joinPatience))
+	sentAway := slices.ContainsFunc(root.Take(), func(action Action) bool {
+		return action.Send != nil && action.Send.Welcome != nil && !action.Send.Welcome.Accepted && action.Send.Welcome.RetryAfter > 0
+	})
+	require.True(t, sentAway)
+	root.SetStale(now, false)
+	require.Zero(t, root.Children())
+}
+
 // TestAJoinerIsPatientWithRoots is refused again and again by control VMs that
 // have no leader yet: the pauses stay short, and peers are asked only later.
 func TestAJoinerIsPatientWithRoots(t *testing.T) {
