The first tries to find a parent come soon

Change: the first ten tries without an answer are 100 ms apart in the mean, then the backoff of before. Test failed first (2 tries in the first second instead of 7).

--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -102,11 +102,27 @@
 	core.act(Action{Dial: address})
 }
 
+// backoff is the pause before the next try. The first tries come soon: after a
+// restart of everything the control VMs are back within a second.
 func (core *Core) backoff() time.Duration {
-	mean := core.settings.Timing.Retry << min(core.finds.unanswered(), 6)
+	late := core.finds.unanswered() - eagerTries
+	if late < 0 {
+		return core.jitter(eagerRetry)
+	}
+	mean := core.settings.Timing.Retry << min(late, maxDoublings)
 	return core.jitter(min(mean, core.settings.Timing.RetryMax))
 }
 
+const (
+	// eagerTries is how many tries without an answer are followed by the next
+	// one after eagerRetry in the mean; together they take a second, the time
+	// in which a VM is back.
+	eagerTries = 10
+	eagerRetry = 100 * time.Millisecond
+	// maxDoublings keeps the backoff from overflowing; RetryMax bounds it.
+	maxDoublings = 6
+)
+
 // nextCandidate returns an address to ask: a redirect first, then a control
 // VM, and every other time without success a peer.
 func (core *Core) nextCandidate() (string, bool) {
--- a/internal/distr/join_test.go
+++ b/internal/distr/join_test.go
@@ -101,6 +101,30 @@
 	require.Less(t, now.Sub(begun), patienceWithRoots*2*joinRetryAfter)
 }
 
+// TestTheFirstTriesComeSoon has no control VM that answers: a node asks often in
+// the first second, when all may be starting, and seldom later.
+func TestTheFirstTriesComeSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := Settings{Name: "n1", Parents: []string{"root"}, MaxChildren: 4, Timing: DefaultTiming(), Members: member.DefaultTiming()}
+	core := New(settings, rand.New(rand.NewPCG(1, 1)), now)
+	tries := func(length time.Duration) int {
+		count := 0
+		for end := now.Add(length); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			core.Tick(now)
+			for _, action := range core.Take() {
+				if action.Dial == "root" {
+					count++
+					core.DialFailed(action.Dial)
+				}
+			}
+		}
+		return count
+	}
+	require.GreaterOrEqual(t, tries(time.Second), 7, "a wait of 150 ms at most")
+	tries(5 * time.Second)
+	require.LessOrEqual(t, tries(10*time.Second), 15)
+}
+
 // TestANewChildLearnsTheTargetsBeforeTheConfiguration wants no node to run a
 // configuration without knowing whom its routes lead to.
 func TestANewChildLearnsTheTargetsBeforeTheConfiguration(t *testing.T) {
