Another dial beside one without an answer

Change: a message that finds a dial older than 50 ms begins another one, six at most; the first connection takes what was held.

--- a/internal/link/caller.go
+++ b/internal/link/caller.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"sync"
+	"time"
 )
 
 // Caller keeps one connection to each address it is asked for, for requests.
@@ -15,14 +15,22 @@
 	options Options
 	lock    sync.Mutex
 	conns   map[string]*Conn
-	// held has what waits for a connection, for the addresses that Post is
-	// connecting to.
-	held map[string][]notification
+	// dials has the addresses that Post is connecting to.
+	dials map[string]*dialing
+}
+
+// dialing is the state of Post's connecting to one address.
+type dialing struct {
+	// held has what waits for a connection.
+	held []notification
+	// open counts the dials in progress, begun is when the latest one began.
+	open  int
+	begun time.Time
 }
 
 // NewCaller returns a caller whose connections end with the context.
 func NewCaller(ctx context.Context, options Options) *Caller {
-	return &Caller{ctx: ctx, options: options, conns: map[string]*Conn{}, held: map[string][]notification{}}
+	return &Caller{ctx: ctx, options: options, conns: map[string]*Conn{}, dials: map[string]*dialing{}}
 }
 
 // Call sends a request to an address and waits for its answer.
@@ -34,8 +42,17 @@
 	return conn.Call(ctx, method, params, result)
 }
 
-// maxHeld bounds the notifications to one address that wait for a connection.
-const maxHeld = 32
+const (
+	// maxHeld bounds the notifications to one address that wait for a
+	// connection.
+	maxHeld = 32
+	// redialAfter is when another dial to the same address begins beside one
+	// without an answer: that one may have met a VM that was still starting. It
+	// is some round trips between zones.
+	redialAfter = 50 * time.Millisecond
+	// maxDials bounds the dials to one address at a time.
+	maxDials = 6
+)
 
 // Post sends a notification without waiting. While there is no connection yet
 // the latest ones are held until one is made in the background; they are lost
@@ -43,39 +60,65 @@
 func (caller *Caller) Post(ctx context.Context, address, method string, params any) {
 	caller.lock.Lock()
 	conn, ok := caller.conns[address]
-	held, begun := caller.held[address]
-	if !ok {
-		held = append(held, notification{method: method, params: params})
-		caller.held[address] = held[max(0, len(held)-maxHeld):]
-	}
+	dial := !ok && caller.hold(address, notification{method: method, params: params})
 	caller.lock.Unlock()
 	if ok {
 		conn.Notify(method, params)
 		return
 	}
-	if begun {
+	if !dial {
 		return
 	}
-	dial := func() {
+	connect := func() {
 		conn, err := caller.conn(ctx, address)
-		waiting := caller.release(address)
-		for _, next := range waiting {
+		for _, next := range caller.dialled(address, err == nil) {
 			if err == nil {
 				conn.Notify(next.method, next.params)
 			}
 		}
 	}
-	if caller.options.Pool.Submit(dial) != nil {
-		caller.release(address)
+	if caller.options.Pool.Submit(connect) != nil {
+		caller.dialled(address, false)
 	}
 }
 
-// release returns what was held for an address.
-func (caller *Caller) release(address string) []notification {
+// hold keeps a notification until there is a connection and reports whether a
+// dial is to begin. The lock must be held.
+func (caller *Caller) hold(address string, next notification) bool {
+	dials := caller.dials[address]
+	if dials == nil {
+		dials = &dialing{}
+		caller.dials[address] = dials
+	}
+	dials.held = append(dials.held, next)
+	dials.held = dials.held[max(0, len(dials.held)-maxHeld):]
+	now := time.Now()
+	if dials.open > 0 && (dials.open >= maxDials || now.Sub(dials.begun) < redialAfter) {
+		return false
+	}
+	dials.open++
+	dials.begun = now
+	return true
+}
+
+// dialled ends one dial and returns what was held, once a connection is made or
+// the last dial has failed.
+func (caller *Caller) dialled(address string, connected bool) []notification {
 	caller.lock.Lock()
 	defer caller.lock.Unlock()
-	held := caller.held[address]
-	delete(caller.held, address)
+	dials := caller.dials[address]
+	if dials == nil {
+		return nil
+	}
+	dials.open--
+	if !connected && dials.open > 0 {
+		return nil
+	}
+	held := dials.held
+	dials.held = nil
+	if dials.open == 0 {
+		delete(caller.dials, address)
+	}
 	return held
 }
 
@@ -86,8 +129,7 @@
 	if ok {
 		return conn, nil
 	}
-	dialler := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialler.DialContext(ctx, "tcp", address)
+	raw, err := caller.options.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -70,6 +70,16 @@
 	// Idle is the longest silence before a connection counts as lost; zero
 	// for no limit.
 	Idle time.Duration
+	// Dial connects to an address; nil means over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (options Options) dial(ctx context.Context, address string) (net.Conn, error) {
+	if options.Dial != nil {
+		return options.Dial(ctx, address)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // countingConn counts bytes and bounds the time of each read and write.
@@ -102,8 +112,7 @@
 
 // Dial connects to an address. The connection ends with the context.
 func Dial(ctx context.Context, address string, handler Handler, options Options) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := options.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
