A copy of a keyed call is not refused for the first one

Change: a copy whose first call did not run tries by itself. A refusal for want of a slot costs a keyed call no retry budget, as with other calls; one for its key does.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -84,16 +84,26 @@
 		gate.refuse(request, refusal{status: fasthttp.StatusBadRequest, reason: err.Error()})
 		return
 	}
-	waiting := make(chan dedup.Outcome, 1)
-	claims.lock.Lock()
-	begun, attempt, outcome := claims.ledger.Begin(claims.node.now(), key, contentOf(request), func(outcome dedup.Outcome) { waiting <- outcome })
-	claims.lock.Unlock()
-	switch begun {
-	case dedup.Start:
-		claims.start(ctx, gate, request, key, attempt)
-		return
-	case dedup.Pending:
+	var outcome dedup.Outcome
+	for range claimTries {
+		waiting := make(chan dedup.Outcome, 1)
+		claims.lock.Lock()
+		begun, attempt, known := claims.ledger.Begin(claims.node.now(), key, contentOf(request), func(outcome dedup.Outcome) { waiting <- outcome })
+		claims.lock.Unlock()
+		if begun == dedup.Start {
+			claims.start(ctx, gate, request, key, attempt)
+			return
+		}
+		outcome = known
+		if begun == dedup.Known {
+			break
+		}
 		outcome = awaitOutcome(ctx, waiting)
+		if outcome.Kind != dedup.NotRun {
+			break
+		}
+		// The call that this one waited for was refused, for instance because it
+		// was not to queue; that says nothing of this one.
 	}
 	claims.replay(gate, request, outcome)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -99,8 +99,7 @@
 // count adds a try's outcome to what is known of the call.
 func (call *call) count(result result) {
 	call.mayHaveRun = call.mayHaveRun || result.outcome == proxy.OutcomeUnknown
-	if result.spent || call.class == classKeyed {
-		// Another try of a keyed call may wait for the one that holds its claim.
+	if !call.free(result) {
 		call.tries++
 		return
 	}
@@ -110,6 +109,13 @@
 	}
 }
 
+// free reports whether another try costs nothing: no upstream saw this one. A
+// keyed call may have been refused for one that holds its claim, and then has to
+// pause, but not where there was no slot for it.
+func (call *call) free(result result) bool {
+	return !result.spent && (call.class != classKeyed || result.full)
+}
+
 // avoid sends the next try of a read that the new version did not answer well
 // to the old one, so that fewer callers are hurt while the evidence comes in.
 func (call *call) avoid() {
@@ -176,7 +182,7 @@
 	if good || final || ctx.Err() != nil || node.timeIsUp(ctx) {
 		return 0, false
 	}
-	if result.outcome == proxy.OutcomeNotRun && !result.spent && call.class != classKeyed {
+	if result.outcome == proxy.OutcomeNotRun && call.free(result) {
 		return 0, call.refusals < maxRefusals
 	}
 	if most := call.route.MaxAttempts(); most > 0 && call.tries >= most {
