--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,7 @@
 	vpd := build(t)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		text, _, ok := strings.Cut(lines.Text(), "|")
-		if !ok {
+		if !ok || strings.HasPrefix(text, "#") {
 			continue
 		}
 		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
