--- a/internal/cmds/apply.go
+++ b/internal/cmds/apply.go
@@ -36,7 +36,7 @@
 		Usage:       "write the resources of a file, all or none",
 		Description: "Example: vpctl apply -f examples/resources.json",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE` of resources"},
+			fileFlag("the JSON `FILE` of resources"),
 			requestFlag(), outputFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/internal/cmds/history.go
+++ b/internal/cmds/history.go
@@ -60,7 +60,7 @@
 		Usage:       "tell what replacing all services and routes by a file's would change",
 		Description: "It changes nothing.\nExample: vpctl diff -f examples/whole.json",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE`"},
+			fileFlag("the JSON `FILE`"),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			body, err := readWhole(c.String("file"))
--- a/internal/cmds/rollout.go
+++ b/internal/cmds/rollout.go
@@ -116,12 +116,10 @@
 			if err != nil {
 				return err
 			}
-			api, bounded, cancel := connect(ctx, c)
-			defer cancel()
-			var result wire.Result
 			body := wire.RolloutRequest{Route: route, To: c.String("to"), By: by}
 			identity := client.Request{ID: c.String("request-id"), Content: strings.Join([]string{route, body.To, c.String("by")}, " ")}
-			if err := api.Post(bounded, "/v1/rollouts", identity, body, &result); err != nil {
+			result, err := post[wire.Result](ctx, c, "/v1/rollouts", identity, body)
+			if err != nil {
 				return err
 			}
 			if wantsJSON(c) {
@@ -134,7 +132,7 @@
 			if !c.Bool("wait") {
 				return nil
 			}
-			return follow(ctx, c, api, result.Version-1, route)
+			return follow(ctx, c, client.New(c.StringSlice("api")), result.Version-1, route)
 		},
 	}
 }
@@ -173,11 +171,9 @@
 			if err != nil {
 				return err
 			}
-			api, bounded, cancel := connect(ctx, c)
-			defer cancel()
-			var result wire.Result
 			body := wire.RollbackRequest{Route: route, Cause: c.String("cause")}
-			if err := api.Post(bounded, "/v1/rollbacks", client.Request{ID: c.String("request-id")}, body, &result); err != nil {
+			result, err := post[wire.Result](ctx, c, "/v1/rollbacks", client.Request{ID: c.String("request-id")}, body)
+			if err != nil {
 				return err
 			}
 			if wantsJSON(c) {
--- a/internal/cmds/vpctl.go
+++ b/internal/cmds/vpctl.go
@@ -75,6 +75,20 @@
 	return table(c, rows(answer))
 }
 
+// post sends a write and returns the answer.
+func post[T any](ctx context.Context, c *cli.Command, path string, identity client.Request, body any) (T, error) {
+	api, bounded, cancel := connect(ctx, c)
+	defer cancel()
+	var answer T
+	err := api.Post(bounded, path, identity, body, &answer)
+	return answer, err
+}
+
+// fileFlag names the file that a command reads.
+func fileFlag(usage string) cli.Flag {
+	return &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: usage}
+}
+
 func wantsJSON(c *cli.Command) bool { return c.String("output") == "json" }
 
 // table prints rows of tab-separated columns.
--- a/internal/cmds/whole.go
+++ b/internal/cmds/whole.go
@@ -18,7 +18,7 @@
 		Usage:       "replace all services and routes by those of a file",
 		Description: "The file names its own number and the one it builds on; sending it again is safe.\nExample: vpctl replace -f examples/whole.json",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "the JSON `FILE`"},
+			fileFlag("the JSON `FILE`"),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			body, err := readWhole(c.String("file"))
@@ -66,10 +66,7 @@
 
 // order sends an order and prints what it came to.
 func order(ctx context.Context, c *cli.Command, path string, body any, done string) error {
-	api, bounded, cancel := connect(ctx, c)
-	defer cancel()
-	var accepted wire.Accepted
-	if err := api.Post(bounded, path, client.Request{}, body, &accepted); err != nil {
+	if _, err := post[wire.Accepted](ctx, c, path, client.Request{}, body); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintln(c.Root().Writer, done)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -372,6 +372,7 @@
 	err := gate.node.targets.Do(ctx, target.Address, outgoing, &request.Response)
 	starved := gate.node.parents.end(id)
 	outcome := gate.conclude(ctx, target, id, request, err)
+	request.Response.Header.Del(proxy.HeaderStarved)
 	if starved && outcome == proxy.OutcomeRan {
 		request.Response.Header.Set(proxy.HeaderStarved, "yes")
 	}
--- a/internal/node/nested_test.go
+++ b/internal/node/nested_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 )
 
 func TestANestedCallIsNoMoreUrgentThanWhatItServes(t *testing.T) {
@@ -39,3 +43,31 @@
 	require.True(t, judged.starved)
 	require.Equal(t, proxy.OutcomeRan, judged.outcome)
 }
+
+// TestAnUpstreamCannotExcuseItself has an upstream send the header by which gates
+// tell that its own call found no slot: it counts as any other error.
+func TestAnUpstreamCannotExcuseItself(t *testing.T) {
+	node := startNode(t, "n1", oneRoute(t))
+	upstream := sample.New(sample.Settings{
+		Service: "s", Version: "v1", Address: sample.FreeAddress(), Admin: node.settings.Admin,
+		Slots: 1, FailPermille: 1000, TTL: time.Minute, Now: time.Now, Random: random(),
+		Seen: func(request *fasthttp.RequestCtx) { request.Response.Header.Set(proxy.HeaderStarved, "yes") },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- upstream.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	require.Eventually(t, func() bool { return node.gate.record().State == member.StateServing }, 5*time.Second, 10*time.Millisecond)
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.SetRequestURI("http://" + node.settings.Gate + "/")
+	request.Header.Set(proxy.HeaderService, "s")
+	request.Header.Set(proxy.HeaderVersion, "v1")
+	request.Header.Set(proxy.HeaderTimeout, "1000")
+	require.NoError(t, fasthttp.DoTimeout(request, response, 5*time.Second))
+	require.Equal(t, fasthttp.StatusInternalServerError, response.StatusCode())
+	require.Equal(t, string(proxy.OutcomeRan), string(response.Header.Peek(proxy.HeaderOutcome)))
+	require.Empty(t, response.Header.Peek(proxy.HeaderStarved))
+}
--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
@@ -30,8 +29,6 @@
 	// ended holds the outcomes of its sends; an empty one stands for a send
 	// without an answer.
 	ended []proxy.Outcome
-	// last is when the last send ended.
-	last time.Time
 }
 
 // book collects what was seen of all calls. It is safe for concurrent use.
@@ -72,7 +69,6 @@
 	defer book.lock.Unlock()
 	entry := book.entries[path]
 	entry.ended = append(entry.ended, outcome)
-	entry.last = time.Now()
 	if good {
 		book.good++
 		return
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,8 +24,6 @@
 	faultTime = 12 * time.Second
 	// recoveryTime is how long after the last fault callers may still be refused.
 	recoveryTime = 10 * time.Second
-	// convergeTime is how long an accepted change may take to all nodes.
-	convergeTime = 4 * time.Second
 	// steadyTime is how long every call must be served after that.
 	steadyTime = 2 * time.Second
 	// stopTime is how long a stopped process may take: its grace, and the time
@@ -110,10 +108,11 @@
 	group.Go(loads, "versions", run.operator.watch)
 	writers.Go(changes, "operator", run.operator.run)
 	run.strike(ctx)
+	recovered := time.Now().Add(recoveryTime)
 	stopChanges()
 	writers.Wait()
-	run.converge()
-	time.Sleep(recoveryTime - convergeTime)
+	run.converge(recovered)
+	time.Sleep(time.Until(recovered))
 	before := run.failures()
 	time.Sleep(steadyTime)
 	if failed := run.failures() - before; failed > 0 {
@@ -139,9 +138,8 @@
 	return run.book.bad
 }
 
-// converge wants the last accepted change in force everywhere.
-func (run *run) converge() {
-	deadline := time.Now().Add(recoveryTime)
+// converge wants the last accepted change in force everywhere by a deadline.
+func (run *run) converge(deadline time.Time) {
 	for time.Now().Before(deadline) {
 		if run.fleet.inForce(run.operator.last()) {
 			return
