Departure of an upstream before its first notice is applied

At 5.35 s the upstream left; its departure names no start time, and the gate knew no instance with that ID, so nothing later was refused. At 7.57 s the stored notice was applied and calls reached the upstream 2.3 s after its departure had been acknowledged.

Ruled out: a departure that got lost (logged at 5.35 s), a record of other nodes that brought the upstream back (logged as announced by notice 1, not restored).

Change: a departure without a start time takes it from the stored notice; if no notice has come at all, notices of this ID that started by now are refused for 10 s, which bounds the damage of a wrong clock.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -57,8 +57,14 @@
 type deregistration struct {
 	id   string
 	born int64
+	// until is the time at which the record expires; zero means never.
+	until time.Time
 }
 
+// lateNoticeWindow is how long a notice may be delayed on its way. The
+// deregistration of an upstream that is not known holds for this time.
+const lateNoticeWindow = 10 * time.Second
+
 // maxDeregistrations limits the number of deregistrations that are kept. That
 // is enough because delayed notices arrive within seconds.
 const maxDeregistrations = 64
@@ -96,6 +102,9 @@
 // Renew applies a notice and sets the lease to expire after ttl. It returns
 // false if the notice is out of date or its incarnation has deregistered.
 func (tracker *Tracker) Renew(now time.Time, notice Notice, ttl time.Duration) bool {
+	tracker.deregistrations = slices.DeleteFunc(tracker.deregistrations, func(gone deregistration) bool {
+		return !gone.until.IsZero() && now.After(gone.until)
+	})
 	if tracker.deregistered(notice.ID, notice.Born) {
 		return false
 	}
@@ -114,15 +123,22 @@
 // Deregister marks the upstream with this ID as absent if it is present and not
 // of a later incarnation than born, and reports whether it did so. If the ID is
 // not empty, Deregister also records the incarnation, so that notices of this
-// and of earlier incarnations are rejected. If born is zero and the latest
-// notice has this ID, the incarnation of that notice is deregistered.
-func (tracker *Tracker) Deregister(id string, born int64) bool {
+// and of earlier incarnations are rejected. If born is zero, the incarnation is
+// that of the latest notice with this ID. If there is no such notice, notices
+// with this ID that started by now are rejected for lateNoticeWindow.
+func (tracker *Tracker) Deregister(now time.Time, id string, born int64) bool {
 	wasPresent := tracker.present && tracker.current.ID == id && (born == 0 || born >= tracker.current.Born)
-	if born == 0 && tracker.current.ID == id {
-		born = tracker.current.Born
+	var until time.Time
+	if born == 0 {
+		// The clock may be wrong, so a start time derived from it must not
+		// lock out an upstream for good.
+		born, until = now.UnixMilli(), now.Add(lateNoticeWindow)
+		if tracker.current.ID == id {
+			born, until = tracker.current.Born, time.Time{}
+		}
 	}
 	if id != "" && !tracker.deregistered(id, born) {
-		tracker.deregistrations = append(tracker.deregistrations, deregistration{id: id, born: born})
+		tracker.deregistrations = append(tracker.deregistrations, deregistration{id: id, born: born, until: until})
 		tracker.deregistrations = tracker.deregistrations[max(0, len(tracker.deregistrations)-maxDeregistrations):]
 	}
 	if wasPresent {
@@ -166,7 +182,7 @@
 		return
 	}
 	if gone {
-		tracker.Deregister(notice.ID, notice.Born)
+		tracker.Deregister(now, notice.ID, notice.Born)
 		return
 	}
 	if tracker.present && notice.sameIncarnation(tracker.current) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -35,7 +35,7 @@
 	now := time.Unix(0, 0)
 	tracker := New()
 	tracker.Renew(now, notice("a", 10, 5), ttl)
-	require.True(t, tracker.Deregister("a", 0))
+	require.True(t, tracker.Deregister(now, "a", 0))
 	require.True(t, tracker.Deregistered())
 	require.False(t, tracker.Renew(now, notice("a", 10, 6), ttl), "a notice that was sent before the deregistration and arrived afterwards")
 	_, ok := tracker.Current()
@@ -45,10 +45,35 @@
 
 func TestDeregistrationBeforeTheFirstNotice(t *testing.T) {
 	tracker := New()
-	require.False(t, tracker.Deregister("a", 10))
+	require.False(t, tracker.Deregister(time.Unix(0, 0), "a", 10))
 	require.False(t, tracker.Renew(time.Unix(0, 0), notice("a", 10, 1), ttl))
 }
 
+// TestDepartureOfAnUnknownUpstream deregisters an upstream of which no notice
+// has arrived, without its start time. A notice that was sent before must be
+// rejected when it arrives late, and a later incarnation must be accepted.
+func TestDepartureOfAnUnknownUpstream(t *testing.T) {
+	now := time.UnixMilli(100_000)
+	for name, c := range map[string]struct {
+		born     int64
+		after    time.Duration
+		accepted bool
+	}{
+		"a late notice":                      {born: 98_000, after: 2 * time.Second},
+		"an incarnation started afterwards":  {born: 100_001, after: 2 * time.Second, accepted: true},
+		"a start time from a clock set back": {born: 98_000, after: lateNoticeWindow + 1, accepted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New()
+			require.False(t, tracker.Deregister(now, "a", 0))
+			require.Equal(t, c.accepted, tracker.Renew(now.Add(c.after), notice("a", c.born, 1), ttl))
+		})
+	}
+	tracker := New()
+	tracker.Deregister(now, "a", 0)
+	require.True(t, tracker.Renew(now, notice("b", 98_000, 1), ttl), "another upstream is not affected")
+}
+
 func TestDrainingIsNotTakenBack(t *testing.T) {
 	now := time.Unix(0, 0)
 	tracker := New()
@@ -129,6 +154,6 @@
 	tracker := New()
 	require.True(t, tracker.Renew(now, notice("", 0, 0), ttl))
 	require.True(t, tracker.Renew(now, notice("", 0, 0), ttl))
-	require.True(t, tracker.Deregister("", 0))
+	require.True(t, tracker.Deregister(now, "", 0))
 	require.True(t, tracker.Renew(now, notice("", 0, 0), ttl))
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -132,4 +132,10 @@
 // Deregister marks an instance of an upstream as permanently gone. The time born
 // is the start time of the instance in milliseconds since 1970; zero stands for
 // the latest known instance.
-func (node *Node) Deregister(id string, born int64) { node.gate.deregister(id, born) }
+func (node *Node) Deregister(id string, born int64) {
+	if notice := node.earlyNotice.Load(); notice != nil && notice.ID == id && born == 0 {
+		// The gate does not know this instance yet.
+		born = notice.Born
+	}
+	node.gate.deregister(id, born)
+}
--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -154,6 +154,23 @@
 	require.Zero(t, upstream.runs.Load())
 }
 
+// TestDepartureBeforeTheFirstConfiguration has an upstream announce itself and
+// leave while the node does not know yet what other nodes hold about it. The
+// stored announcement must not bring the upstream back.
+func TestDepartureBeforeTheFirstConfiguration(t *testing.T) {
+	config := kindConfig(t)
+	node := startNode(t, "n1", config)
+	upstream := startLossyUpstream(t, 0)
+	node.config.Store(nil)
+	node.AcceptNotice(completeNotice(lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: upstream.address}))
+	node.Deregister("i-1", 0)
+	node.config.Store(config)
+	require.Eventually(t, func() bool { return node.earlyNotice.Load() == nil }, 5*time.Second, time.Millisecond)
+	require.Equal(t, member.StateIdle, node.gate.record().State)
+	require.Equal(t, http.StatusServiceUnavailable, send(t, node, http.MethodGet, "/once/x"))
+	require.Zero(t, upstream.runs.Load())
+}
+
 // TestReadyFollowsConfigurationAndShutdown sends readiness probes as a platform
 // does. They must succeed once a configuration is in force and fail during the
 // shutdown.
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -188,7 +188,7 @@
 // that time. After deregister returns, no further call reaches the instance.
 func (gate *gate) deregister(id string, born int64) {
 	gate.lock.Lock()
-	present := gate.tracker.Deregister(id, born)
+	present := gate.tracker.Deregister(gate.node.now(), id, born)
 	if present {
 		gate.limit.Drain()
 	}
