Rollout of a whole service: an exact test before an uncleared version gets all calls

The decision at the deadline is made at a fixed time, so Fisher's exact test applies there, with more power.

Change: at least two failures and p <= 0.03 keep a version from all calls.

--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -143,6 +143,9 @@
 	// higher than the others because a bad version does most damage with all
 	// traffic.
 	fullShareFalsePositiveRate = 0.04
+	// completionSignificance is the significance level of the single test before a
+	// version that is not cleared gets all traffic of a whole service.
+	completionSignificance = 0.03
 )
 
 // defaultRamp lists the shares of a rollout, in permille, unless the timing sets
@@ -197,6 +200,8 @@
 	stageStarted time.Time
 	firstCall    time.Time
 	lastWarning  string
+	// totals are the calls and failures of both versions since the start.
+	totals sample
 }
 
 // New returns a controller for a rollout with the criteria of the given policy.
@@ -287,6 +292,7 @@
 	}
 	cold := now.Sub(controller.firstCall) < controller.timing.Cold
 	controller.evidence.Add(input.Before, input.After, cold)
+	controller.totals.add(input.Before, input.After)
 	controller.stageTest.add(input.After.Errors, input.After.Calls, oldRate)
 }
 
@@ -436,7 +442,8 @@
 // mayCompleteUncleared reports whether the new version may get all traffic
 // although it is not cleared: the policy allows it, the time left until the
 // deadline is needed for the remaining steps, and, for a whole service, there is
-// no evidence against the version at fullShareFalsePositiveRate.
+// no evidence against the version, neither at fullShareFalsePositiveRate nor in a
+// comparison of all calls so far at completionSignificance.
 func (controller *Controller) mayCompleteUncleared(now time.Time, input Input) bool {
 	timeNeeded := controller.timing.Dwell
 	if controller.timing.WholeService {
@@ -446,6 +453,9 @@
 		if _, suspected := controller.evidence.RegressionAt(fullShareFalsePositiveRate); suspected {
 			return false
 		}
+		if controller.totals.failsMoreOften(completionSignificance) {
+			return false
+		}
 	}
 	return controller.criteria.CompleteUncleared && !now.Before(input.Rollout.Deadline().Add(-timeNeeded))
 }
