--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -120,6 +121,7 @@
 			if settings.Interface == config.InterfacePlatform {
 				deps.Dialect, deps.Admin = platform.Dialect{}, platform.Node
 			}
+			debug.SetMemoryLimit(settings.HeapLimit())
 			daemon, err := node.New(deps)
 			if err != nil {
 				return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -171,6 +171,9 @@
 	// keeps the ports.
 	ControlPort int   `json:"controlPort"`
 	Retry       Retry `json:"retry"`
+	// MemoryMB is the memory limit of the process in MiB. Message bodies that do not
+	// fit into their part of it are rejected.
+	MemoryMB float64 `json:"memoryMB"`
 }
 
 // Retry limits the retries to each service, summed over all nodes: in any window,
@@ -196,8 +199,14 @@
 	DefaultQueue     = 256
 	DefaultGrace     = 30 * time.Second
 	DefaultHeartbeat = time.Second
+	// DefaultMemoryMB is enough for a body of front.DefaultLimits.
+	DefaultMemoryMB = 1024
 )
 
+// minMemoryMB is the smallest memory limit of a node, in MiB. Less would leave no
+// room for message bodies beside the node itself.
+const minMemoryMB = 32
+
 // The values of the setting "interface".
 const (
 	// InterfaceOwn selects the header names, message formats and API paths of
@@ -249,7 +258,7 @@
 // ReadNode reads and validates the settings of a node. It applies the defaults and
 // replaces the ports of Control.
 func ReadNode(file string) (Node, error) {
-	node := Node{MaxChildren: DefaultMaxChildren, Queue: DefaultQueue, Grace: Duration(DefaultGrace), Heartbeat: Duration(DefaultHeartbeat), Interface: InterfaceOwn}
+	node := Node{MaxChildren: DefaultMaxChildren, Queue: DefaultQueue, Grace: Duration(DefaultGrace), Heartbeat: Duration(DefaultHeartbeat), MemoryMB: DefaultMemoryMB, Interface: InterfaceOwn}
 	if err := decodeFile(file, &node); err != nil {
 		return node, err
 	}
@@ -257,6 +266,14 @@
 	return node, node.check(file)
 }
 
+// heapPercent is the part of the memory limit that Go's runtime may use. The rest
+// is for the program itself and for the system's buffers.
+const heapPercent = 80
+
+// HeapLimit returns the soft memory limit of Go's runtime in bytes. It makes the
+// collector work harder rather than let the process exceed its memory limit.
+func (node Node) HeapLimit() int64 { return int64(node.MemoryMB * (1 << 20) * heapPercent / 100) }
+
 // replacePorts replaces the port of each address, unless port is 0. It leaves
 // invalid addresses as they are, for check to report.
 func replacePorts(addresses []string, port int) []string {
@@ -286,6 +303,7 @@
 	checker.addresses("seeds", node.Seeds)
 	checker.require(node.MaxChildren >= 0, "maxChildren", "must not be negative")
 	checker.require(node.Queue >= 0, "queue", "must not be negative")
+	checker.require(node.MemoryMB >= minMemoryMB, "memoryMB", fmt.Sprintf("must be at least %d", minMemoryMB))
 	checker.nonNegative("grace", node.Grace)
 	checker.nonNegative("notice", node.Notice)
 	checker.nonNegative("heartbeat", node.Heartbeat)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 const (
@@ -31,8 +32,10 @@
 // conn is one connection. One goroutine reads requests and another one writes
 // responses.
 type conn struct {
-	server     *Server
-	raw        net.Conn
+	server *Server
+	raw    net.Conn
+	// meter is what reader reads from. It charges bodies to the requests' holds.
+	meter      *quota.Meter
 	reader     *bufio.Reader
 	readerSize int
 	writer     *bufio.Writer
@@ -48,6 +51,8 @@
 	// closing is set before the last response of the connection is written. No
 	// request is read afterwards.
 	closing bool
+	// writing is true while a response is being written.
+	writing bool
 	// awaiting is true while the reading goroutine waits for the first byte of a
 	// request.
 	awaiting bool
@@ -60,12 +65,15 @@
 	done chan struct{}
 	// last is set if the connection is to be closed after this response.
 	last bool
+	// hold is the memory of the request's and the response's body.
+	hold *quota.Hold
 }
 
 func newConn(server *Server, raw net.Conn) *conn {
 	return &conn{
 		server:  server,
 		raw:     raw,
+		meter:   quota.NewMeter(raw),
 		writer:  bufio.NewWriter(raw),
 		pending: make(chan *pending, maxPipelined),
 	}
@@ -79,6 +87,20 @@
 	return conn.inFlight == 0
 }
 
+// closable reports whether the connection can be closed without cutting off a
+// response: no request is in flight and no response is being written.
+func (conn *conn) closable() bool {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	return conn.inFlight == 0 && !conn.writing
+}
+
+func (conn *conn) endWrite() {
+	conn.lock.Lock()
+	defer conn.lock.Unlock()
+	conn.writing = false
+}
+
 // beginRequest counts a request that is about to be read. If closing is set, the
 // request must not be read: beginRequest does not count it and returns false.
 func (conn *conn) beginRequest() bool {
@@ -90,13 +112,15 @@
 	return !conn.closing
 }
 
-// done counts a request as finished and reports whether its response is the last
+// done counts a request as finished, marks its response as being written until
+// endWrite is called, and reports whether its response is the last
 // one on the connection. The response is the last one if last is set, or if the
 // server is draining and no other request is in flight.
 func (conn *conn) done(last bool) (closing bool) {
 	conn.lock.Lock()
 	defer conn.lock.Unlock()
 	conn.inFlight--
+	conn.writing = true
 	conn.closing = conn.closing || last || conn.inFlight == 0 && conn.server.draining.Load()
 	return conn.closing
 }
@@ -173,7 +197,7 @@
 			// send it again.
 			return false
 		}
-		limits := conn.server.deps.Limits()
+		limits := conn.server.limits()
 		err := conn.awaitRequest(limits)
 		if errors.Is(err, errDraining) {
 			return false
@@ -188,12 +212,15 @@
 		}
 		request := &fasthttp.RequestCtx{}
 		request.Init2(conn.raw, discardLogger{}, true)
-		status, err := conn.readRequest(request, limits)
+		hold := conn.server.deps.Memory.NewHold()
+		status, err := conn.readRequest(request, hold, limits)
 		if err != nil && status == 0 {
+			hold.Release()
 			conn.done(false)
+			conn.endWrite()
 			return true
 		}
-		next := &pending{request: request, done: make(chan struct{}), last: err != nil}
+		next := &pending{request: request, done: make(chan struct{}), last: err != nil, hold: hold}
 		if err != nil {
 			conn.server.deps.WriteError(&request.Response, status)
 			close(next.done)
@@ -238,7 +265,7 @@
 	if conn.reader == nil || conn.readerSize != limits.MaxHeader && conn.reader.Buffered() == 0 {
 		// fasthttp requires that the whole request header fits into the buffer.
 		conn.readerSize = limits.MaxHeader
-		conn.reader = bufio.NewReaderSize(conn.raw, conn.readerSize)
+		conn.reader = bufio.NewReaderSize(conn.meter, conn.readerSize)
 	}
 	for {
 		if err := conn.raw.SetReadDeadline(time.Now().Add(limits.Idle)); err != nil {
@@ -264,7 +291,7 @@
 // readRequest reads one request. If it returns an error and a status other than
 // zero, a response with that status must be sent. If it returns an error and
 // status zero, no response can be sent.
-func (conn *conn) readRequest(request *fasthttp.RequestCtx, limits Limits) (int, error) {
+func (conn *conn) readRequest(request *fasthttp.RequestCtx, hold *quota.Hold, limits Limits) (int, error) {
 	if err := conn.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return 0, err
 	}
@@ -276,6 +303,14 @@
 			return 0, err
 		}
 	}
+	length := request.Request.Header.ContentLength()
+	if length > limits.MaxBody {
+		return errorStatus(fasthttp.ErrBodyTooLarge), fasthttp.ErrBodyTooLarge
+	}
+	if err := conn.meter.Start(hold, length); err != nil {
+		return errorStatus(err), err
+	}
+	defer conn.meter.Stop()
 	err := request.Request.ContinueReadBody(conn.reader, limits.MaxBody, false)
 	return errorStatus(err), err
 }
@@ -289,6 +324,8 @@
 	switch {
 	case err == nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return 0
+	case errors.Is(err, quota.ErrExhausted):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &smallBuffer):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -309,7 +346,7 @@
 	run := func() {
 		defer close(next.done)
 		defer conn.server.active.Add(-1)
-		conn.server.deps.Handler(ctx, next.request)
+		conn.server.deps.Handler(quota.NewContext(ctx, next.hold), next.request)
 	}
 	if conn.server.deps.Pool.Submit(run) != nil {
 		conn.server.deps.WriteError(&next.request.Response, fasthttp.StatusServiceUnavailable)
@@ -325,17 +362,23 @@
 	for next := range conn.pending {
 		<-next.done
 		closing := conn.done(next.last)
-		if failed {
-			continue
-		}
-		if err := conn.writeResponse(next, closing); err != nil {
+		if !failed && conn.writeResponse(next, closing) != nil {
 			failed = true
 			cancel(proxy.ErrCallerDisconnected)
 			conn.closeRaw()
 		}
+		conn.endWrite()
+		next.release()
 	}
 }
 
+// release returns the memory of the request once its response is written.
+func (next *pending) release() {
+	next.request.Request.Reset()
+	next.request.Response.Reset()
+	next.hold.Release()
+}
+
 func (conn *conn) writeResponse(next *pending, closing bool) error {
 	response := &next.request.Response
 	response.SkipBody = response.SkipBody || next.request.IsHead()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,8 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 // Limits are the limits on the requests of a connection. The server reads them
@@ -37,7 +39,8 @@
 }
 
 // Handler responds to one request. The context is canceled with the cause
-// proxy.ErrCallerDisconnected when the caller disconnects. The handler must not
+// proxy.ErrCallerDisconnected when the caller disconnects. It carries the
+// quota.Hold of the request, which is released when the response is written. The handler must not
 // retain either argument after it returns.
 type Handler func(ctx context.Context, request *fasthttp.RequestCtx)
 
@@ -52,6 +55,8 @@
 	// WriteError fills in the response to a request that is rejected with the
 	// given status without calling the handler.
 	WriteError func(response *fasthttp.Response, status int)
+	// Memory is the budget for the bodies of requests and responses.
+	Memory *quota.Budget
 }
 
 // Server serves the connections of one listener. The lock guards conns.
@@ -81,6 +86,9 @@
 func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
 	for {
 		raw, err := listener.Accept()
+		if err == nil && ctx.Err() != nil {
+			return raw.Close()
+		}
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
@@ -105,6 +113,14 @@
 	})
 }
 
+// limits returns the limits in force. A body that is too large for the budget can
+// never be read, so MaxBody is at most its largest body.
+func (server *Server) limits() Limits {
+	limits := server.deps.Limits()
+	limits.MaxBody = min(limits.MaxBody, server.deps.Memory.MaxBody())
+	return limits
+}
+
 // Active returns the number of requests whose handler is queued or running.
 func (server *Server) Active() int { return int(server.active.Load()) }
 
@@ -149,14 +165,13 @@
 // shutdownPollInterval is how often Shutdown looks for idle connections.
 const shutdownPollInterval = 20 * time.Millisecond
 
-// closeConns closes the connections without requests in flight, or all
-// connections if all is set. The last response of a connection without requests
-// in flight may still be being written.
+// closeConns closes the connections that can be closed without cutting off a
+// response, or all connections if all is set.
 func (server *Server) closeConns(all bool) {
 	server.lock.Lock()
 	defer server.lock.Unlock()
 	for conn := range server.conns {
-		if all || conn.idle() {
+		if all || conn.closable() {
 			conn.closeRaw()
 		}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 // fixture is a running server with limits that a test can change.
@@ -34,6 +38,7 @@
 	limits := Limits{MaxHeader: 4096, MaxBody: 1 << 20, HeaderTimeout: time.Second, Idle: time.Minute}
 	setup.limits.Store(&limits)
 	setup.server = New(Deps{
+		Memory:     quota.New(1 << 30),
 		Handler:    handler,
 		Limits:     func() Limits { return *setup.limits.Load() },
 		Pool:       pool,
@@ -236,3 +241,45 @@
 	_, err = reader.ReadByte()
 	require.Error(t, err)
 }
+
+// TestShutdownDoesNotCutTheLastResponse has a caller read a large response only
+// after the server has begun to shut down. The response must arrive whole.
+func TestShutdownDoesNotCutTheLastResponse(t *testing.T) {
+	const size = 16 << 20
+	pool, err := ants.NewPool(8, ants.WithNonblocking(true))
+	require.NoError(t, err)
+	defer pool.Release()
+	server := New(Deps{
+		Handler:    func(_ context.Context, request *fasthttp.RequestCtx) { request.SetBody(make([]byte, size)) },
+		Limits:     DefaultLimits,
+		Pool:       pool,
+		WriteError: func(response *fasthttp.Response, status int) { response.SetStatusCode(status) },
+		Memory:     quota.New(1 << 30),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(context.Background(), listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	head := make([]byte, 1)
+	_, err = io.ReadFull(conn, head)
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- server.Shutdown(ctx) }()
+	// Longer than several polls of Shutdown.
+	time.Sleep(10 * shutdownPollInterval)
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), conn)), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Len(t, body, size)
+	require.NoError(t, <-ended)
+	require.NoError(t, <-served)
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -266,6 +266,9 @@
 // customer has more waiting calls than the arriving customer would have.
 func (limiter *Limiter) displace(arriving *Ticket) bool {
 	priorities := limiter.priorities()
+	if len(priorities) == 0 {
+		return false
+	}
 	last := priorities[len(priorities)-1]
 	if last < arriving.priority {
 		return false
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -205,3 +205,15 @@
 		limiter.Done(now, 0, time.Millisecond)
 	}
 }
+
+// TestNoQueue has a call arrive while all slots are in use and no call may wait.
+func TestNoQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limiter := New(1, 0)
+	newTicket := func() *Ticket { return NewTicket("a", now.Add(time.Second), func(Reason) {}) }
+	decision, _ := limiter.Arrive(now, newTicket())
+	require.Equal(t, Run, decision)
+	decision, reason := limiter.Arrive(now, newTicket())
+	require.Equal(t, Refuse, decision)
+	require.Equal(t, ReasonFull, reason)
+}
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -138,7 +138,16 @@
 	if call.errorResponse == nil {
 		call.errorResponse = &fasthttp.Response{}
 	}
-	response.CopyTo(call.errorResponse)
+	moveResponse(call.errorResponse, response)
+}
+
+// moveResponse moves a response without a copy of its body. The source is empty
+// afterwards.
+func moveResponse(to, from *fasthttp.Response) {
+	from.Header.CopyTo(&to.Header)
+	to.SkipBody = from.SkipBody
+	to.SwapBody(from.SwapBody(nil))
+	from.Reset()
 }
 
 // chooseTarget chooses a target with a free slot or, if there is none, the
@@ -223,7 +232,7 @@
 		localRequest.Response.Reset()
 		node.writeGateHeaders(ctx, call, target, mayQueue, &localRequest.Request)
 		node.gate.serve(ctx, localRequest)
-		localRequest.Response.CopyTo(response)
+		moveResponse(response, &localRequest.Response)
 		return nil
 	}
 	request := fasthttp.AcquireRequest()
@@ -292,7 +301,7 @@
 		response, last.outcome = call.errorResponse, proxy.OutcomeRan
 	}
 	if last.outcome == proxy.OutcomeRan {
-		response.CopyTo(&call.request.Response)
+		moveResponse(&call.request.Response, response)
 		call.request.Response.Header.Del(proxy.HeaderLoad)
 		call.request.Response.Header.Del(proxy.HeaderStarved)
 		call.request.Response.Header.ResetConnectionClose()
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -161,7 +161,7 @@
 		gate.refuse(request, *refused)
 		return
 	}
-	outcome, won := claims.claim(ctx, key, attempt)
+	outcome, attempt, won := claims.claim(ctx, key, attempt)
 	if !won {
 		gate.returnUnusedSlot()
 		claims.finish(key, outcome)
@@ -189,32 +189,32 @@
 // claim asks the witnesses until the claim is won or the outcome of another
 // attempt is known, at most claimTries times. Before each further try it starts
 // a new attempt, releases the claim of a holder that did not run the call, and
-// backs off. It returns true if the claim was won, and otherwise the outcome to
-// report.
-func (claims *claims) claim(ctx context.Context, key dedup.Key, attempt dedup.Attempt) (dedup.Outcome, bool) {
+// backs off. If the claim was won, it returns the attempt that won it and true,
+// otherwise the outcome to report.
+func (claims *claims) claim(ctx context.Context, key dedup.Key, attempt dedup.Attempt) (dedup.Outcome, dedup.Attempt, bool) {
 	for try := range claimTries {
 		poll := claims.poll(ctx, methodClaim, key, attempt)
 		if poll == nil {
-			return dedup.Outcome{Kind: dedup.NotRun, Reason: "no witnesses are placed yet"}, false
+			return dedup.Outcome{Kind: dedup.NotRun, Reason: "no witnesses are placed yet"}, attempt, false
 		}
 		if poll.Won() {
-			return dedup.Outcome{}, true
+			return dedup.Outcome{}, attempt, true
 		}
 		attempt = claims.restartAttempt(key, attempt)
 		holder, held := poll.Holder()
 		if !held {
-			return dedup.Outcome{Kind: dedup.NotRun, Reason: "too few witnesses answered"}, false
+			return dedup.Outcome{Kind: dedup.NotRun, Reason: "too few witnesses answered"}, attempt, false
 		}
 		outcome := claims.askHolder(ctx, key, holder)
 		if outcome.Kind != dedup.NotRun {
-			return outcome, false
+			return outcome, attempt, false
 		}
 		claims.releaseClaims(key, holder)
 		if !claims.backOff(ctx, try) {
 			break
 		}
 	}
-	return dedup.Outcome{Kind: dedup.NotRun, Reason: "the key is contended"}, false
+	return dedup.Outcome{Kind: dedup.NotRun, Reason: "the key is contended"}, attempt, false
 }
 
 // backOff waits for a random time whose upper bound doubles with each try. It
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -437,7 +437,8 @@
 		}
 		return proxy.OutcomeNotRun
 	}
-	return gate.replyUnknown(ctx, upstream, id, request, "the upstream gave no whole answer: "+err.Error())
+	gate.logFailedExchange(id, upstream.ID, err)
+	return gate.replyUnknown(ctx, upstream, id, request, "the upstream gave no whole answer: "+exchangeReason(err))
 }
 
 // replyUnknown responds to a call that may have run.
--- a/internal/node/lookup_test.go
+++ b/internal/node/lookup_test.go
@@ -24,14 +24,7 @@
 // there. The second node must return the first response and must not report
 // that the call did not run.
 func TestAKeyFromTheFutureIsLookedUp(t *testing.T) {
-	change := rsrc.Change{Put: []rsrc.Resource{
-		rsrc.NewService("s", rsrc.PolicyBalanced),
-		rsrc.NewVersion("s", "v1", 1),
-		rsrc.NewRoute("r", "s", "/", "v1", time.Minute),
-		rsrc.NewWitnesses(rsrc.Placement{Nodes: []string{"n1", "n2"}}),
-	}}
-	config, err := rsrc.EmptyConfig().Apply(1, change)
-	require.NoError(t, err)
+	config := witnessConfig(t, "n1", "n2")
 	first := startNode(t, "n1", config)
 	lagging := startNodeAt(t, "n2", config, func() time.Time { return time.Now().Add(-clockLag) })
 	startUpstream(t, first, 0)
@@ -64,6 +57,18 @@
 	}
 }
 
+// witnessConfig returns a configuration with one service and the given witnesses.
+func witnessConfig(t *testing.T, witnesses ...string) *rsrc.Config {
+	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{
+		rsrc.NewService("s", rsrc.PolicyBalanced),
+		rsrc.NewVersion("s", "v1", 1),
+		rsrc.NewRoute("r", "s", "/", "v1", time.Minute),
+		rsrc.NewWitnesses(rsrc.Placement{Nodes: witnesses}),
+	}})
+	require.NoError(t, err)
+	return config
+}
+
 // startNodeAt is startNode with a given clock.
 func startNodeAt(t *testing.T, name string, config *rsrc.Config, now func() time.Time) *Node {
 	node, err := New(Deps{Settings: nodeSettings(t, name), Logs: logs.Discard(), Stats: stats.New(), Now: now, Random: random})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 	"github.com/vanillapulley/vanillapulley/internal/retry"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
 	"github.com/vanillapulley/vanillapulley/internal/tasks"
@@ -124,7 +125,9 @@
 	// process.
 	localRequests sync.Pool
 	// callPool is the worker pool that runs the handlers of calls.
-	callPool  *ants.Pool
+	callPool *ants.Pool
+	// bodies is the memory for the bodies of requests and responses.
+	bodies    *quota.Budget
 	noticeTTL time.Duration
 	// stopping is true from the start of the shutdown.
 	stopping atomic.Bool
@@ -187,6 +190,7 @@
 		rpcPool:     rpcPool,
 		traffic:     &link.Traffic{},
 		callPool:    callPool,
+		bodies:      quota.New(bodyMemory(deps.Settings)),
 		dialect:     deps.Dialect,
 		callLog:     deps.Logs.Layer(logs.LayerCalls),
 		noticeTTL:   noticeHeartbeats * time.Duration(deps.Settings.Heartbeat),
@@ -344,6 +348,8 @@
 	node.stats.Gauge("vp_control_received_bytes", func() float64 { return float64(node.traffic.Received.Load()) })
 	node.stats.Gauge("vp_config_version", func() float64 { return float64(node.version()) })
 	node.stats.Gauge("vp_calls_in_flight", func() float64 { return float64(node.gate.load().InFlight) })
+	node.stats.Gauge("vp_body_memory_bytes", func() float64 { return float64(node.bodies.Held()) })
+	node.stats.Gauge("vp_body_memory_peak_bytes", func() float64 { return float64(node.bodies.Peak()) })
 	node.stats.Gauge("vp_calls_queued", func() float64 { return float64(node.gate.load().Queued) })
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -55,7 +55,7 @@
 func nodeSettings(t testing.TB, name string) config.Node {
 	return config.Node{
 		Name: name, Zone: "a", Callers: sample.FreeAddress(), Gate: sample.FreeAddress(), Link: sample.FreeAddress(), Admin: sample.FreeAddress(),
-		Control: []string{"127.0.0.1:1"}, Queue: 1000, Grace: config.Duration(time.Second), Heartbeat: config.Duration(time.Second),
+		Control: []string{"127.0.0.1:1"}, Queue: 1000, MemoryMB: config.DefaultMemoryMB, Grace: config.Duration(time.Second), Heartbeat: config.Duration(time.Second),
 	}
 }
 
--- a/internal/node/result.go
+++ b/internal/node/result.go
@@ -96,7 +96,7 @@
 }
 
 func classifyFailure(ctx context.Context, exchangeError *proxy.ExchangeError) result {
-	failure := result{outcome: proxy.OutcomeUnknown, reason: exchangeError.Err.Error(), pickerResult: picker.ResultFailed, mayHaveReachedUpstream: true}
+	failure := result{outcome: proxy.OutcomeUnknown, reason: exchangeError.Reason(), pickerResult: picker.ResultFailed, mayHaveReachedUpstream: true}
 	if !exchangeError.MaybeSent {
 		failure.outcome, failure.mayHaveReachedUpstream = proxy.OutcomeNotRun, false
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -78,14 +78,22 @@
 }
 
 func (node *Node) newServer(handler front.Handler, limits func() front.Limits) *front.Server {
-	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.callPool, WriteError: node.writeError})
+	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.callPool, WriteError: node.writeError, Memory: node.bodies})
 }
 
+// busyRetryAfter is about the time in which calls in progress end and free a
+// worker or the memory of their bodies.
+const busyRetryAfter = 200 * time.Millisecond
+
 // writeError responds to a request that cannot be parsed, or that cannot be
 // served for lack of a worker. In both cases the call has not run.
 func (node *Node) writeError(response *fasthttp.Response, status int) {
 	node.stats.Count("vp_requests_refused_total", 1)
-	node.dialect.LocalReply(response, LocalReply{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)})
+	reply := LocalReply{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)}
+	if status == fasthttp.StatusServiceUnavailable {
+		reply.RetryAfter = busyRetryAfter
+	}
+	node.dialect.LocalReply(response, reply)
 }
 
 type discardLogger struct{}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 // maxInlineBodyBytes is the largest request body that is written before the
@@ -33,7 +34,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := conn.writeRequest(request)
-	err := pools.receiveMatching(conn, request, response)
+	err := pools.receiveMatching(ctx, conn, request, response)
 	if !conn.finishWrite(written, err) {
 		// If the connection were reused, the peer could parse the rest of this
 		// request as the next request.
@@ -94,9 +95,9 @@
 // to maxMismatchedResponses others and returns ErrMismatch if the next one does
 // not match either. It also returns ErrMismatch if a response that does not match
 // announces the close of the connection.
-func (pools *Pools) receiveMatching(conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
+func (pools *Pools) receiveMatching(ctx context.Context, conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
 	for range maxMismatchedResponses + 1 {
-		if err := readResponse(conn.reader, request, response, pools.settings); err != nil {
+		if err := conn.readResponse(quota.FromContext(ctx), request, response, pools.settings); err != nil {
 			return err
 		}
 		if pools.settings.Belongs == nil || pools.settings.Belongs(request, response) {
@@ -121,10 +122,11 @@
 // readResponse skips informational (1xx) responses, except 101, and reads the
 // response that follows. The body must be delimited by a content length, by
 // chunked encoding or, if the settings allow it, by the close of the connection.
-func readResponse(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
+// Its memory is charged to the hold, which may be nil.
+func (conn *conn) readResponse(hold *quota.Hold, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
 	response.SkipBody = request.Header.IsHead()
 	for {
-		if err := response.Header.Read(reader); err != nil {
+		if err := response.Header.Read(conn.reader); err != nil {
 			return err
 		}
 		if code := response.StatusCode(); code >= 200 || code == fasthttp.StatusSwitchingProtocols {
@@ -138,12 +140,19 @@
 	if length == lengthUntilClose && !settings.AllowCloseDelimited {
 		return ErrUnframed
 	}
-	if err := response.ReadBody(reader, settings.MaxBody); err != nil {
+	if length > settings.MaxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err := conn.meter.Start(hold, length); err != nil {
+		return err
+	}
+	defer conn.meter.Stop()
+	if err := response.ReadBody(conn.reader, settings.MaxBody); err != nil {
 		return err
 	}
 	switch length {
 	case lengthChunked:
-		if err := response.Header.ReadTrailer(reader); err != nil && !errors.Is(err, io.EOF) {
+		if err := response.Header.ReadTrailer(conn.reader); err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
 	case lengthUntilClose:
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 // ExchangeError reports an exchange that did not yield a complete response.
@@ -73,6 +75,8 @@
 // conn is one connection of a pool.
 type conn struct {
 	net.Conn
+	// meter is what reader reads from. It charges bodies to the hold of the call.
+	meter  *quota.Meter
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idle is the time at which the connection was returned to the pool.
@@ -118,7 +122,8 @@
 	return entry
 }
 
-// Do sends a request to an address and reads the response. If it gets no complete
+// Do sends a request to an address and reads the response. If the context carries
+// a quota.Hold, the body of the response is charged to it. If it gets no complete
 // response to the request, for instance because the context ends or the
 // connection is lost, it returns an *ExchangeError and closes the connection if
 // there is one. A peer that is still running the call can cancel it when it
@@ -178,7 +183,8 @@
 			return nil, errors.Join(err, raw.Close())
 		}
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw), maxIdleTime: pools.settings.MaxIdleTime}, nil
+	meter := quota.NewMeter(raw)
+	return &conn{Conn: raw, meter: meter, reader: bufio.NewReader(meter), writer: bufio.NewWriter(raw), maxIdleTime: pools.settings.MaxIdleTime}, nil
 }
 
 // isReusable reports whether an idle connection is open and has no data to read.
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,68 @@
+package quota
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(buffer []byte) (int, error) { return len(buffer), nil }
+
+// readAll reads a body in pieces, as a codec does, until an error.
+func readAll(meter *Meter) error {
+	buffer := make([]byte, 4<<10)
+	for {
+		if _, err := meter.Read(buffer); err != nil {
+			return err
+		}
+	}
+}
+
+// TestEndlessBodiesLeaveRoom grows bodies without end side by side. Each must
+// fail, the budget must never be exceeded, and a body of ordinary size must still
+// fit while all of them hold what they got.
+func TestEndlessBodiesLeaveRoom(t *testing.T) {
+	const total, bodies = 60 << 20, 24
+	budget := New(total)
+	holds := make([]*Hold, bodies)
+	for i := range holds {
+		holds[i] = budget.NewHold()
+		meter := NewMeter(endless{})
+		require.NoError(t, meter.Start(holds[i], -1))
+		require.ErrorIs(t, readAll(meter), ErrExhausted)
+	}
+	require.LessOrEqual(t, budget.Peak(), int64(total))
+	ordinary := budget.NewHold()
+	require.NoError(t, ordinary.Grow(256<<10))
+	ordinary.Release()
+	for _, hold := range holds {
+		hold.Release()
+	}
+	require.Zero(t, budget.Held())
+}
+
+func TestOneBodyTakesMaxBody(t *testing.T) {
+	budget := New(10 << 20)
+	hold := budget.NewHold()
+	require.NoError(t, NewMeter(endless{}).Start(hold, budget.MaxBody()))
+	require.ErrorIs(t, hold.Grow(1), ErrExhausted)
+	require.ErrorIs(t, NewMeter(endless{}).Start(budget.NewHold(), budget.MaxBody()), ErrExhausted, "a second one must wait for the first")
+	hold.Release()
+	require.NoError(t, NewMeter(endless{}).Start(budget.NewHold(), budget.MaxBody()))
+}
+
+// TestSmallBodiesTakeNothing reads a body of FreeBytes with an exhausted budget.
+func TestSmallBodiesTakeNothing(t *testing.T) {
+	budget := New(0)
+	meter := NewMeter(strings.NewReader(strings.Repeat("x", FreeBytes)))
+	require.NoError(t, meter.Start(budget.NewHold(), FreeBytes))
+	got, err := io.ReadAll(io.LimitReader(meter, FreeBytes))
+	require.NoError(t, err)
+	require.Len(t, got, FreeBytes)
+	require.Zero(t, budget.Peak())
+}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -66,7 +66,8 @@
 	stats   *stats.Set
 	now     func() time.Time
 	group   *tasks.Group
-	ctx     context.Context
+	// dials holds the addresses to connect to.
+	dials chan string
 
 	lock sync.Mutex
 	core *distr.Core
@@ -91,7 +92,8 @@
 		log:     log,
 		stats:   set,
 		now:     now,
-		group:   tasks.New(1),
+		group:   tasks.New(2),
+		dials:   make(chan string, maxPendingDials),
 		core:    core,
 		conns:   map[distr.LinkID]*link.Conn{},
 		linkIDs: map[*link.Conn]distr.LinkID{},
@@ -103,9 +105,7 @@
 // then waits for the accept task and returns nil. If the accept task ends while the
 // context is not canceled, Run returns the error of the task at once.
 func (tree *Tree) Run(ctx context.Context, listener net.Listener) error {
-	tree.lock.Lock()
-	tree.ctx = ctx
-	tree.lock.Unlock()
+	tree.group.Go(ctx, "dials", tree.runDials)
 	tree.group.Go(ctx, "accept", func(ctx context.Context) error {
 		return link.Serve(ctx, listener, tree, tree.options, tree.accepted)
 	})
@@ -217,14 +217,38 @@
 	return update
 }
 
-// dial connects to an address in a goroutine of options.Pool and passes the result
-// to the core. If the pool refuses the task, dial reports the failure to the core at
-// once. The tree's lock must be held.
+// maxPendingDials is the number of addresses that wait for a goroutine of the pool.
+// It exceeds the connections that a core asks for at once.
+const maxPendingDials = 64
+
+// dial has runDials connect to an address. If too many addresses are waiting, it
+// reports the failure to the core at once. The tree's lock must be held.
 func (tree *Tree) dial(address string) {
-	ctx := tree.ctx
-	if ctx == nil || ctx.Err() != nil {
-		return
+	select {
+	case tree.dials <- address:
+	default:
+		tree.stats.Count("vp_tree_dial_failures_total", 1)
+		tree.core.DialFailed(address)
+	}
+}
+
+// runDials connects to the addresses that dial has queued. Submit may block until a
+// goroutine of the pool is free, and those goroutines may wait for the tree's lock,
+// so runDials does not hold it.
+func (tree *Tree) runDials(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case address := <-tree.dials:
+			tree.connect(ctx, address)
+		}
 	}
+}
+
+// connect connects to an address in a goroutine of options.Pool and passes the
+// result to the core.
+func (tree *Tree) connect(ctx context.Context, address string) {
 	err := tree.options.Pool.Submit(func() {
 		conn, err := link.Dial(ctx, address, tree, tree.options)
 		tree.Do(func(core *distr.Core, now time.Time) {
@@ -237,7 +261,7 @@
 		})
 	})
 	if err != nil {
-		tree.core.DialFailed(address)
+		tree.Do(func(core *distr.Core, _ time.Time) { core.DialFailed(address) })
 	}
 }
 
