Late second copies and lapsed leases after a pause

Looked for the six failures of similar systems. Two can happen here: - Own interface: an upstream that sends a first response once more, when the next request is on the connection, had it delivered to the next caller. A response that echoes Vp-Request-Id must now match; upstreams that echo nothing have no such protection (the platform's targets always echo). - A node that was paused for longer than its upstream's lease forwarded calls until the next run of the bookkeeping (up to 50 ms). The gate now asks the lease itself. Not found: a call at a target that turns suspect or leaves is neither sent again nor given up (TestCallEndsAtASilentTarget passes on the code before).

Before: TestLateSecondCopyReachesNobody got /again/0 for /again/1, TestExpiredLeaseAfterAPause got a slot. After: both pass.

--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -114,9 +115,12 @@
 	request.Header.Set(proxy.HeaderTimeout, strconv.FormatInt(max(1, info.Timeout.Milliseconds()), 10))
 }
 
-// Belongs implements Dialect. Upstreams of this dialect do not echo anything
-// that could be compared.
-func (defaultDialect) Belongs(*fasthttp.Request, *fasthttp.Response) bool { return true }
+// Belongs implements Dialect. An upstream may echo the request's ID; a response
+// without one is accepted.
+func (defaultDialect) Belongs(request *fasthttp.Request, response *fasthttp.Response) bool {
+	echo := response.Header.Peek(proxy.HeaderRequestID)
+	return len(echo) == 0 || bytes.Equal(echo, request.Header.Peek(proxy.HeaderRequestID))
+}
 
 // ResponseInfo implements Dialect. Upstreams of this dialect send no metadata.
 func (defaultDialect) ResponseInfo(*fasthttp.Response) ResponseInfo { return ResponseInfo{} }
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -192,7 +192,7 @@
 				group.Go(func() {
 					status, header := callWithin(t, node, http.MethodGet, "/again/"+kind, nil)
 					if status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
-						t.Errorf("status %d", status)
+						t.Errorf("status %d, %s", status, header)
 					}
 					if strings.Contains(header, "secret") {
 						t.Errorf("bytes of the upstream reached the caller: %s", header)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -304,6 +304,9 @@
 	ticket := gate.newTicket(ctx, &request.Header, func(reason limit.Reason) { decided <- reason })
 	gate.lock.Lock()
 	upstream, present := gate.tracker.Current()
+	// After a pause of this process, calls may arrive before the next run of the
+	// bookkeeping that withdraws an upstream whose lease has expired.
+	present = present && !gate.tracker.Expired(gate.node.now())
 	if !present || upstream.Service != service || upstream.Version != version {
 		reason := "wrong version"
 		if gate.nodeLeaving {
--- /dev/null
+++ b/internal/node/hazards_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+)
+
+// TestLateSecondCopyReachesNobody has an upstream send its first response once
+// more when the next request on the connection has arrived. The next caller must
+// get its own response.
+func TestLateSecondCopyReachesNobody(t *testing.T) {
+	node := startNode(t, "n1", kindConfig(t))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reader, last := bufio.NewReader(conn), ""
+		for {
+			var request fasthttp.Request
+			if request.Read(reader) != nil {
+				return
+			}
+			path := string(request.URI().Path())
+			own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+				proxy.HeaderRequestID, request.Header.Peek(proxy.HeaderRequestID), len(path), path)
+			_, _ = io.WriteString(conn, last+own)
+			last = own
+		}
+	}()
+	announce(t, node, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: listener.Addr().String()})
+	for i := range 5 {
+		path := fmt.Sprintf("/again/%d", i)
+		request, err := http.NewRequest(http.MethodGet, "http://"+node.settings.Callers+path, nil)
+		require.NoError(t, err)
+		request.Host = "h.example"
+		request.Header.Set(proxy.HeaderRequestID, fmt.Sprint("call-", i))
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, path, string(body))
+	}
+}
+
+// TestCallEndsAtASilentTarget lets a target become suspect, and then disappear from
+// the membership, while it runs a call. The call must end with its response and
+// must not be sent again.
+func TestCallEndsAtASilentTarget(t *testing.T) {
+	for name, state := range map[string]member.State{"suspect": member.StateSuspect, "leaving": member.StateLeaving} {
+		t.Run(name, func(t *testing.T) {
+			config := kindConfig(t)
+			entry, target := startNode(t, "n1", config), startNode(t, "n2", config)
+			runs, finish := &atomic.Int64{}, make(chan struct{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {
+				runs.Add(1)
+				<-finish
+			}}
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+			defer func() {
+				require.NoError(t, server.Shutdown())
+				require.NoError(t, <-served)
+			}()
+			target.AcceptNotice(completeNotice(lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: listener.Addr().String()}))
+			introduce(t, entry, target)
+			status := make(chan int, 1)
+			go func() { status <- send(t, entry, http.MethodGet, "/again/x") }()
+			require.Eventually(t, func() bool { return runs.Load() == 1 }, 5*time.Second, time.Millisecond)
+			silent := target.gate.record()
+			silent.Name, silent.Zone, silent.State = "n2", "a", state
+			silent.Incarnation++
+			entry.tree.Do(func(core *distr.Core, now time.Time) { core.Table().Merge(now, silent) })
+			time.Sleep(4 * bookkeepingInterval)
+			close(finish)
+			require.Equal(t, http.StatusOK, <-status)
+			require.EqualValues(t, 1, runs.Load())
+		})
+	}
+}
+
+// TestExpiredLeaseAfterAPause moves a node's clock past the end of its upstream's
+// lease, as after a pause of the process, and lets a call arrive before the next
+// run of the bookkeeping. The call must not reach the upstream.
+func TestExpiredLeaseAfterAPause(t *testing.T) {
+	var pause atomic.Int64
+	node, err := New(Deps{
+		Settings: nodeSettings(t, "n1"), Logs: logs.Discard(), Stats: stats.New(), Random: random,
+		Now: func() time.Time { return time.Now().Add(time.Duration(pause.Load())) },
+	})
+	require.NoError(t, err)
+	upstream := startLossyUpstream(t, 0)
+	notice := completeNotice(lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: upstream.address})
+	require.True(t, node.gate.accept(notice, node.noticeTTL))
+	request := &fasthttp.Request{}
+	request.Header.Set(proxy.HeaderService, notice.Service)
+	request.Header.Set(proxy.HeaderVersion, notice.Version)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, refused := node.gate.acquireSlot(ctx, request)
+	require.Nil(t, refused)
+	node.gate.returnUnusedSlot()
+	pause.Store(int64(node.noticeTTL) + 1)
+	_, refused = node.gate.acquireSlot(ctx, request)
+	require.NotNil(t, refused)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, refused.status)
+}
