--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -105,6 +105,8 @@
 func startEndlessNode(t *testing.T) (*Node, *atomic.Int64) {
 	settings := nodeSettings(t, "n1")
 	settings.MemoryMB = endlessMemoryMB
+	// The upstream announces itself once, so its lease must outlast the test.
+	settings.Heartbeat = config.Duration(time.Minute)
 	node, err := New(Deps{Settings: settings, Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random})
 	require.NoError(t, err)
 	runNode(t, node, endlessConfig(t))
