Split routes with a full part; the soak plays bodies without end

- TestSplitWithAFullPart: the calls of a full part are refused, the other part gets its share and no more, and new weights are followed.
- internal/soak: fault 'endless' (an upstream's forwarder sends a body without end) and a check of each process's peak memory (128 MiB).

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,17 +90,22 @@
 // introduce merges the records of one node into another node's membership, as
 // the tree does.
 func introduce(t testing.TB, to, from *Node) {
+	introduceOnce(to, from)
+	require.Eventually(t, func() bool {
+		to.lock.Lock()
+		defer to.lock.Unlock()
+		return to.picker.Count("s", "v1") > 0
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// introduceOnce merges the present records of one node into another's membership.
+func introduceOnce(to, from *Node) {
 	records := from.tree.Records()
 	to.tree.Do(func(core *distr.Core, now time.Time) {
 		for _, record := range records {
 			core.Table().Merge(now, record)
 		}
 	})
-	require.Eventually(t, func() bool {
-		to.lock.Lock()
-		defer to.lock.Unlock()
-		return to.picker.Count("s", "v1") > 0
-	}, 5*time.Second, 10*time.Millisecond)
 }
 
 // drive sends calls at a constant rate and returns the sorted latencies.
--- /dev/null
+++ b/internal/node/split_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
+)
+
+// splitConfig returns a configuration with a route that is split between two
+// services.
+func splitConfig(t *testing.T, version uint64, weightA, weightB int) *rsrc.Config {
+	options := rsrc.RouteOptions{Host: "h.example", Kind: rsrc.CallIdempotent, MaxAttempts: 2, Split: []rsrc.WeightedService{
+		{Service: "a", Weight: weightA}, {Service: "b", Weight: weightB},
+	}}
+	config, err := rsrc.EmptyConfig().Apply(version, rsrc.Change{Put: []rsrc.Resource{
+		rsrc.NewService("a", ""),
+		rsrc.NewService("b", ""),
+		rsrc.NewRoute("split", "", "/split/", "", time.Second).WithOptions(options),
+	}})
+	require.NoError(t, err)
+	return config
+}
+
+// TestSplitWithAFullPart sends calls to a split route, one part of which has no
+// free slot, and changes the weights. The calls of the full part are refused, the
+// other part gets its share and no more.
+func TestSplitWithAFullPart(t *testing.T) {
+	config := splitConfig(t, 1, 3, 1)
+	start := func(name, service string) (*Node, *lossyUpstream) {
+		settings := nodeSettings(t, name)
+		settings.Queue = 0
+		node, err := New(Deps{Settings: settings, Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random})
+		require.NoError(t, err)
+		runNode(t, node, config)
+		upstream := startLossyUpstream(t, 0)
+		node.AcceptNotice(lease.Notice{ID: "i-" + name, Born: 1, Sequence: 1, Service: service, Version: "v1", Slots: 12, Address: upstream.address})
+		return node, upstream
+	}
+	entry, upstreamA := start("n1", "a")
+	other, upstreamB := start("n2", "b")
+	require.Eventually(t, func() bool {
+		introduceOnce(entry, other)
+		entry.lock.Lock()
+		defer entry.lock.Unlock()
+		return entry.picker.Count("a", "v1") > 0 && entry.picker.Count("b", "v1") > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	sendMany := func(count int) (served int) {
+		for range count {
+			if send(t, entry, http.MethodGet, "/split/x") == http.StatusOK {
+				served++
+			}
+		}
+		return served
+	}
+	require.Equal(t, 40, sendMany(40))
+	require.EqualValues(t, 30, upstreamA.runs.Load())
+	require.EqualValues(t, 10, upstreamB.runs.Load())
+
+	entry.gate.lock.Lock()
+	entry.gate.limit.SetSlots(time.Now(), 0)
+	entry.gate.lock.Unlock()
+	require.Equal(t, 10, sendMany(40), "the calls of the full part are refused")
+	require.EqualValues(t, 30, upstreamA.runs.Load())
+	require.EqualValues(t, 20, upstreamB.runs.Load())
+
+	entry.Applied(splitConfig(t, 2, 1, 3))
+	require.Equal(t, 30, sendMany(40))
+	require.EqualValues(t, 50, upstreamB.runs.Load())
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -35,6 +35,8 @@
 	upstreamDelay = 100 * time.Millisecond
 	// announcementTTL is how long the announcement of an upstream is valid.
 	announcementTTL = 2 * time.Second
+	// memoryMB is the memory limit of a process in MiB.
+	memoryMB = 128
 	// gracePeriod is how long a node that shuts down waits for its calls in
 	// progress.
 	gracePeriod = 2 * time.Second
@@ -136,7 +138,7 @@
 	return fleet.addProcess(name, vpd, "node", map[string]any{
 		"name": name, "zone": zoneOf(i), "callers": listen["callers"], "admin": admin, "control": links,
 		"gate": advertised["gate"], "listenGate": listen["gate"], "link": advertised["link"], "listenLink": listen["link"],
-		"grace": gracePeriod.String(),
+		"grace": gracePeriod.String(), "memoryMB": memoryMB,
 	})
 }
 
--- a/internal/soak/forward.go
+++ b/internal/soak/forward.go
@@ -21,6 +21,9 @@
 	// dropIn discards the data sent to the process, dropOut the data sent by it.
 	dropIn  atomic.Bool
 	dropOut atomic.Bool
+	// endless replaces the next response on each connection by one that does not
+	// end until the connection is closed.
+	endless atomic.Bool
 
 	// lock guards conns, the open connections on both sides.
 	lock   sync.Mutex
@@ -70,8 +73,8 @@
 	forwarder.track(client, true)
 	forwarder.track(server, true)
 	var copies sync.WaitGroup
-	copies.Go(func() { forwarder.copy(server, client, &forwarder.dropIn) })
-	copies.Go(func() { forwarder.copy(client, server, &forwarder.dropOut) })
+	copies.Go(func() { forwarder.copy(server, client, &forwarder.dropIn, nil) })
+	copies.Go(func() { forwarder.copy(client, server, &forwarder.dropOut, &forwarder.endless) })
 	copies.Wait()
 	forwarder.track(client, false)
 	forwarder.track(server, false)
@@ -96,12 +99,18 @@
 // copy forwards the data of one direction. While drop is set, it reads and
 // discards all data, which simulates a network path that loses every packet.
 // Once bytes are missing from the stream, nothing more is forwarded in this
-// direction until the connection is closed.
-func (forwarder *forwarder) copy(destination, source net.Conn, drop *atomic.Bool) {
+// direction until the connection is closed. While endless is set, it forwards a
+// response without end in place of what it has read; endless may be nil.
+func (forwarder *forwarder) copy(destination, source net.Conn, drop, endless *atomic.Bool) {
 	buffer := make([]byte, bufferBytes)
 	dropped := false
 	for {
 		n, err := source.Read(buffer)
+		if n > 0 && endless != nil && endless.Load() {
+			sendEndlessly(destination)
+			resetConn(source)
+			return
+		}
 		if delay := time.Duration(forwarder.delay.Load()); delay > 0 {
 			time.Sleep(delay)
 		}
@@ -119,6 +128,15 @@
 	}
 }
 
+// sendEndlessly sends a response without end until the connection is closed.
+func sendEndlessly(conn net.Conn) {
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n")
+	for filler := make([]byte, bufferBytes); err == nil; {
+		_, err = conn.Write(filler)
+	}
+	resetConn(conn)
+}
+
 // propagateClose is called after a read from the other connection has returned
 // err. At the end of the data it closes the sending side of destination; after any
 // other error it resets destination.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,8 @@
 	faultMute    kind = "mute"
 	// faultReplace replaces an upstream by a new one.
 	faultReplace kind = "replace"
+	// faultEndless replaces the responses of an upstream by bodies without end.
+	faultEndless kind = "endless"
 )
 
 // fault is one planned fault.
@@ -84,13 +86,13 @@
 	return map[kind][]string{
 		faultKill: processes, faultTerm: processes, faultPause: processes, faultTorn: controls,
 		faultDelay: forwarders, faultReset: forwarders, faultMuteIn: forwarders, faultMuteOut: forwarders, faultMute: forwarders,
-		faultReplace: upstreams,
+		faultReplace: upstreams, faultEndless: upstreams,
 	}
 }
 
 // faultKinds lists all kinds of faults. The order must not change: planFaults
 // selects a kind by its index, so another order gives other faults for a seed.
-var faultKinds = []kind{faultKill, faultTorn, faultTerm, faultPause, faultDelay, faultReset, faultMuteIn, faultMuteOut, faultMute, faultReplace}
+var faultKinds = []kind{faultKill, faultTorn, faultTerm, faultPause, faultDelay, faultReset, faultMuteIn, faultMuteOut, faultMute, faultReplace, faultEndless}
 
 // planFaults derives the faults of a run from its seed and sorts them by time. All
 // faults start within the period.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
+	"regexp"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -91,3 +94,21 @@
 	defer process.lock.Unlock()
 	return process.unexpectedExits
 }
+
+// peakMemoryPattern matches the largest resident memory in a process's status file.
+var peakMemoryPattern = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// checkMemory records a violation if the current run of the process has ever used
+// more than memoryMB. It does nothing if the process is not running.
+func (process *process) checkMemory(history *history) {
+	process.lock.Lock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.cmd.Process.Pid))
+	process.lock.Unlock()
+	match := peakMemoryPattern.FindSubmatch(status)
+	if err != nil || match == nil {
+		return
+	}
+	if kibibytes, _ := strconv.Atoi(string(match[1])); kibibytes > memoryMB<<10 {
+		history.addViolation("%s used %d KiB of memory, %d MiB are allowed", process.name, kibibytes, memoryMB)
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -128,6 +128,7 @@
 	stopLoad()
 	loadTasks.Wait()
 	for name, process := range run.fleet.processes {
+		process.checkMemory(run.history)
 		if exits := process.unexpectedExitCount(); exits > 0 {
 			run.history.addViolation("%s exited unexpectedly %d times", name, exits)
 		}
@@ -203,6 +204,11 @@
 		time.Sleep(fault.duration)
 		forwarder.dropIn.Store(false)
 		forwarder.dropOut.Store(false)
+	case faultEndless:
+		forwarder.endless.Store(true)
+		time.Sleep(fault.duration)
+		forwarder.endless.Store(false)
+		process.checkMemory(history)
 	case faultReplace:
 		fleet.upstreams[fault.subject].replacements <- fault.duration
 		time.Sleep(fault.duration)
