--- a/internal/canary/exact_test.go
+++ b/internal/canary/exact_test.go
@@ -26,3 +26,32 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, c.counts.failsMoreOften(c.level)) })
 	}
 }
+
+// TestBlocksToReport counts how many blocks of the largest effect it takes until a
+// version is reported as worse, from the initial capital and with the bets of a
+// long rollout.
+func TestBlocksToReport(t *testing.T) {
+	const manyRows = 100
+	for name, c := range map[string]struct {
+		maxLogFactor float64
+		rows         int
+		want         int
+	}{
+		"errors at the start":      {maxErrorLogFactor, 1, 3},
+		"errors in a long rollout": {maxErrorLogFactor, manyRows, 2},
+		"slow at the start":        {maxSlowLogFactor, 1, 6},
+		"slow in a long rollout":   {maxSlowLogFactor, manyRows, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newEProcess(c.maxLogFactor, 0.5)
+			for range c.rows - 1 {
+				test.addBets()
+			}
+			blocks := 0
+			for ; test.capital() < 2/falsePositiveRate; blocks++ {
+				test.addLogFactor(0, 100)
+			}
+			require.Equal(t, c.want, blocks)
+		})
+	}
+}
