--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -107,6 +107,10 @@
 	trail.matches = append(trail.matches, Match{Process: name, Line: line})
 }
 
+// nestedIDSeparator follows the id of a call in the ids of the calls that its
+// upstream makes for it.
+const nestedIDSeparator = "."
+
 // skip counts a line as skipped if it is not blank.
 func (trail *Trail) skip(text []byte) {
 	if len(bytes.TrimSpace(text)) > 0 {
@@ -114,8 +118,12 @@
 	}
 }
 
-// hasValue reports whether a field, or an item of a list, equals the value.
+// hasValue reports whether a field, or an item of a list, equals the value, or
+// whether the line is about a nested call of the call with this id.
 func (trail *Trail) hasValue(fields map[string]any) bool {
+	if id, ok := fields["id"].(string); ok && strings.HasPrefix(id, trail.value+nestedIDSeparator) {
+		return true
+	}
 	for _, field := range fields {
 		if list, ok := field.([]any); ok {
 			if slices.ContainsFunc(list, func(item any) bool { return formatValue(item) == trail.value }) {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -42,6 +42,23 @@
 	require.Empty(t, read(t, "68db").Matches(), "a prefix of a value does not match")
 }
 
+// TestIncludesNestedCalls checks that the calls that an upstream made for a call,
+// whose ids begin with that call's, are part of its trail.
+func TestIncludesNestedCalls(t *testing.T) {
+	trail := New("a1")
+	lines := `{"logger":"calls","ts":"2026-01-01T00:00:02Z","msg":"call","id":"a1","status":500}
+{"logger":"calls","ts":"2026-01-01T00:00:01Z","msg":"refused","id":"a1.b2","reason":"full"}
+{"logger":"calls","ts":"2026-01-01T00:00:01Z","msg":"refused","id":"a12.b2","reason":"full"}
+{"logger":"gate","ts":"2026-01-01T00:00:01Z","msg":"upstream announced","upstream":"a1.b2"}
+`
+	require.NoError(t, trail.Read("n1", strings.NewReader(lines)))
+	var got []string
+	for _, match := range trail.Matches() {
+		got = append(got, match.Line.Message)
+	}
+	require.Equal(t, []string{"refused", "call"}, got)
+}
+
 // TestOverlongLineIsSkipped checks that a line longer than maxLineBytes is counted
 // as skipped, even if it has the value.
 func TestOverlongLineIsSkipped(t *testing.T) {
