--- a/internal/canary/eprocess.go
+++ b/internal/canary/eprocess.go
@@ -16,6 +16,14 @@
 	newFailures int
 }
 
+// add adds the calls of both versions in one interval.
+func (sample *sample) add(oldCounts, newCounts Counts) {
+	sample.oldTrials += oldCounts.Calls
+	sample.oldFailures += oldCounts.Errors
+	sample.newTrials += newCounts.Calls
+	sample.newFailures += newCounts.Errors
+}
+
 // eProcess is a sequential test of the null hypothesis "the new version fails
 // no more often than the old one". Its capital is a nonnegative supermartingale
 // under that hypothesis, so the test may be evaluated after every block: the
--- a/internal/canary/exact.go
+++ b/internal/canary/exact.go
@@ -2,23 +2,15 @@
 
 import "math"
 
-// add adds the calls of both versions in one interval.
-func (sample *sample) add(oldCounts, newCounts Counts) {
-	sample.oldTrials += oldCounts.Calls
-	sample.oldFailures += oldCounts.Errors
-	sample.newTrials += newCounts.Calls
-	sample.newFailures += newCounts.Errors
-}
-
 // minSuspectFailures is the number of failures of the new version below which
 // failsMoreOften returns false, since one failure may have any cause.
 const minSuspectFailures = 2
 
 // failsMoreOften reports whether the new version fails more often than the old
 // one, by Fisher's exact test at the given significance level. Unlike the capital
-// of an eProcess, the result is valid only for a single evaluation at a time that
-// does not depend on the data. In return it needs fewer failures.
-func (sample sample) failsMoreOften(level float64) bool {
+// of an eProcess, the level holds only for one evaluation, at a time that does not
+// depend on the data. In return the test needs fewer failures.
+func (sample *sample) failsMoreOften(level float64) bool {
 	if sample.newFailures < minSuspectFailures {
 		return false
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,8 +40,8 @@
 
 // Handler responds to one request. The context is canceled with the cause
 // proxy.ErrCallerDisconnected when the caller disconnects. It carries the
-// quota.Hold of the request, which is released when the response is written. The handler must not
-// retain either argument after it returns.
+// quota.Hold of the request, which is released when the response is written. The
+// handler must not retain either argument after it returns.
 type Handler func(ctx context.Context, request *fasthttp.RequestCtx)
 
 // Deps holds the dependencies of a server.
