--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,7 +49,8 @@
 	"nothttp": {"secret bytes that are no answer\r\n", strings.Repeat("secret", 100)},
 }
 
-// startEndlessUpstream starts an upstream that sends without end, and responds
+// startEndlessUpstream starts an upstream that sends without end on the paths of
+// endlessKinds, a body of that size on paths that end in a number, and responds
 // normally on other paths. It counts the connections that sent without end and
 // are not closed yet.
 func startEndlessUpstream(t *testing.T) (address string, open *atomic.Int64) {
@@ -77,7 +79,12 @@
 			return
 		}
 		path := string(request.URI().Path())
-		kind, endless := endlessKinds[path[strings.LastIndexByte(path, '/')+1:]]
+		last := path[strings.LastIndexByte(path, '/')+1:]
+		if size, err := strconv.Atoi(last); err == nil {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size))
+			continue
+		}
+		kind, endless := endlessKinds[last]
 		if !endless {
 			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			continue
@@ -191,6 +198,25 @@
 	return status, header
 }
 
+// callBesideOrdinary makes endlessCalls calls at once, beside as many ordinary
+// calls, which must be served. All of them must fit into the node's memory limit.
+func callBesideOrdinary(t *testing.T, node *Node, call func()) {
+	peak := watchHeap(t, node.settings)
+	var group sync.WaitGroup
+	for range endlessCalls {
+		group.Go(call)
+		group.Go(func() {
+			if status, header := callUntilRun(t, node); status != http.StatusOK {
+				t.Errorf("ordinary call: status %d, %s", status, header)
+			}
+		})
+	}
+	group.Wait()
+	rise := peak()
+	t.Logf("heap rose by %d KiB", rise>>10)
+	require.Less(t, rise, uint64(endlessMemoryMB<<20))
+}
+
 // TestEndlessResponses sends calls to an upstream whose responses have no end,
 // beside calls with ordinary responses. All bytes of a message that is not
 // complete must be held within the node's memory limit, each call must have its
@@ -200,30 +226,17 @@
 	for kind := range endlessKinds {
 		t.Run(kind, func(t *testing.T) {
 			node, open := startEndlessNode(t)
-			peak := watchHeap(t, node.settings)
-			var group sync.WaitGroup
-			for range endlessCalls {
-				group.Go(func() {
-					status, header := callWithin(t, node, http.MethodGet, "/again/"+kind, nil)
-					// On a busy machine, connecting may take too long; such a call has not run.
-					notRun := status == http.StatusServiceUnavailable && strings.Contains(header, "not-run")
-					if status != http.StatusBadGateway && status != http.StatusGatewayTimeout && !notRun {
-						t.Errorf("status %d, %s", status, header)
-					}
-					if strings.Contains(header, "secret") {
-						t.Errorf("bytes of the upstream reached the caller: %s", header)
-					}
-				})
-				group.Go(func() {
-					if status, header := callUntilRun(t, node); status != http.StatusOK {
-						t.Errorf("ordinary call: status %d, %s", status, header)
-					}
-				})
-			}
-			group.Wait()
-			rise := peak()
-			t.Logf("heap rose by %d KiB", rise>>10)
-			require.Less(t, rise, uint64(endlessMemoryMB<<20))
+			callBesideOrdinary(t, node, func() {
+				status, header := callWithin(t, node, http.MethodGet, "/again/"+kind, nil)
+				// On a busy machine, connecting may take too long; such a call has not run.
+				notRun := status == http.StatusServiceUnavailable && strings.Contains(header, "not-run")
+				if status != http.StatusBadGateway && status != http.StatusGatewayTimeout && !notRun {
+					t.Errorf("status %d, %s", status, header)
+				}
+				if strings.Contains(header, "secret") {
+					t.Errorf("bytes of the upstream reached the caller: %s", header)
+				}
+			})
 			require.Eventually(t, func() bool { return open.Load() == 0 }, 5*time.Second, 5*time.Millisecond)
 		})
 	}
@@ -233,25 +246,12 @@
 // must get a refusal that says the call did not run, within the memory limit.
 func TestEndlessRequests(t *testing.T) {
 	node, _ := startEndlessNode(t)
-	peak := watchHeap(t, node.settings)
-	var group sync.WaitGroup
-	for range endlessCalls {
-		group.Go(func() {
-			status := uploadEndlessly(t, node)
-			if status != http.StatusServiceUnavailable && status != http.StatusRequestEntityTooLarge {
-				t.Errorf("status %d", status)
-			}
-		})
-		group.Go(func() {
-			if status, header := callUntilRun(t, node); status != http.StatusOK {
-				t.Errorf("ordinary call: status %d, %s", status, header)
-			}
-		})
-	}
-	group.Wait()
-	rise := peak()
-	t.Logf("heap rose by %d KiB", rise>>10)
-	require.Less(t, rise, uint64(endlessMemoryMB<<20))
+	callBesideOrdinary(t, node, func() {
+		status := uploadEndlessly(t, node)
+		if status != http.StatusServiceUnavailable && status != http.StatusRequestEntityTooLarge {
+			t.Errorf("status %d", status)
+		}
+	})
 }
 
 // uploadEndlessly sends a request whose body does not end and returns the status of
@@ -283,15 +283,23 @@
 	return response.StatusCode
 }
 
-// TestBodiesUpToTheLimit sends a body that fits into the budget and one that can
-// never fit, which is rejected.
+// TestBodiesUpToTheLimit sends bodies in both directions, the largest that the
+// budget allows and larger ones. The former must arrive whole, the latter can never
+// fit and are rejected.
 func TestBodiesUpToTheLimit(t *testing.T) {
-	budget := int64(endlessMemoryMB << 20 / bodyMemoryDivisor)
-	largest := int(budget/2 - budget/16)
 	node, _ := startEndlessNode(t)
-	require.Equal(t, largest, node.bodies.MaxBody())
-	status, _ := callWithin(t, node, http.MethodPost, "/again/good", strings.NewReader(strings.Repeat("b", largest/4)))
-	require.Equal(t, http.StatusOK, status)
-	status, _ = callWithin(t, node, http.MethodPost, "/again/good", strings.NewReader(strings.Repeat("b", largest+1)))
-	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	largest := node.bodies.MaxBody()
+	budget := endlessMemoryMB << 20 / bodyMemoryDivisor
+	require.Equal(t, (budget-budget/8)/2, largest)
+	for size, want := range map[int]int{largest: http.StatusOK, largest + 1: http.StatusBadGateway} {
+		status, header := callWithin(t, node, http.MethodGet, fmt.Sprint("/again/", size), nil)
+		require.Equal(t, want, status, size)
+		if want == http.StatusOK {
+			require.Contains(t, header, fmt.Sprintf("Content-Length:[%d]", size))
+		}
+	}
+	for size, want := range map[int]int{largest: http.StatusOK, largest + 1: http.StatusRequestEntityTooLarge} {
+		status, _ := callWithin(t, node, http.MethodPost, "/again/good", strings.NewReader(strings.Repeat("b", size)))
+		require.Equal(t, want, status, size)
+	}
 }
