--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -108,6 +108,8 @@
 	shutdown, cancel := context.WithTimeout(context.Background(), upstream.settings.TTL)
 	defer cancel()
 	err = server.ShutdownWithContext(shutdown)
+	// A shutdown that comes before Serve does not close the listener.
+	_ = listener.Close()
 	group.Wait()
 	return trace.Wrap(err)
 }
