--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -267,8 +267,9 @@
 }
 
 // heapPercent is the part of the memory limit that Go's runtime may use. The rest
-// is for the program itself and for the system's buffers.
-const heapPercent = 80
+// is for the program itself and for what is allocated while a collection runs, which
+// may be much if bodies without end arrive at a high rate.
+const heapPercent = 60
 
 // HeapLimit returns the soft memory limit of Go's runtime in bytes. It makes the
 // collector work harder rather than let the process exceed its memory limit.
