node: a rejected request states its outcome truthfully

Cause, found by reading the diff: requests that are rejected before any try (too large, no worker, no memory) were answered not-run also if they carry a key, whose call may have run in an earlier request; and a gate wrote this reply in the callers' protocol, in which the platform's has no outcome, so that the entry node took a refusal for an unknown outcome. Change: callers' requests go through refuseEarly, which knows of keys, and gates through gate.refuse; the second retry delay is gone.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -222,7 +222,7 @@
 		}
 		next := &pending{request: request, done: make(chan struct{}), last: err != nil, hold: hold}
 		if err != nil {
-			conn.server.deps.WriteError(&request.Response, status)
+			conn.server.deps.WriteError(request, status)
 			close(next.done)
 			conn.pending <- next
 			return false
@@ -349,7 +349,7 @@
 		conn.server.deps.Handler(quota.NewContext(ctx, next.hold), next.request)
 	}
 	if conn.server.deps.Pool.Submit(run) != nil {
-		conn.server.deps.WriteError(&next.request.Response, fasthttp.StatusServiceUnavailable)
+		conn.server.deps.WriteError(next.request, fasthttp.StatusServiceUnavailable)
 		conn.server.active.Add(-1)
 		close(next.done)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,7 +54,7 @@
 	Pool *ants.Pool
 	// WriteError fills in the response to a request that is rejected with the
 	// given status without calling the handler.
-	WriteError func(response *fasthttp.Response, status int)
+	WriteError func(request *fasthttp.RequestCtx, status int)
 	// Memory is the budget for the bodies of requests and responses.
 	Memory *quota.Budget
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,7 +42,7 @@
 		Handler:    handler,
 		Limits:     func() Limits { return *setup.limits.Load() },
 		Pool:       pool,
-		WriteError: func(response *fasthttp.Response, status int) { response.SetStatusCode(status) },
+		WriteError: func(request *fasthttp.RequestCtx, status int) { request.SetStatusCode(status) },
 	})
 	ended := make(chan error, 1)
 	go func() { ended <- setup.server.Serve(context.Background(), listener) }()
@@ -253,7 +253,7 @@
 		Handler:    func(_ context.Context, request *fasthttp.RequestCtx) { request.SetBody(make([]byte, size)) },
 		Limits:     DefaultLimits,
 		Pool:       pool,
-		WriteError: func(response *fasthttp.Response, status int) { response.SetStatusCode(status) },
+		WriteError: func(request *fasthttp.RequestCtx, status int) { request.SetStatusCode(status) },
 		Memory:     quota.New(1 << 30),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -138,10 +138,10 @@
 	return host
 }
 
-// startupRetryAfter is approximately how long a node takes from its start to
-// its first configuration if control VMs respond. Callers refused during
-// startup get it as their retry delay.
-const startupRetryAfter = 200 * time.Millisecond
+// earlyRetryAfter is the retry delay of callers refused before any try. It is
+// approximately how long a node takes from its start to its first configuration if
+// control VMs respond, and calls in progress take to free a worker or memory.
+const earlyRetryAfter = 200 * time.Millisecond
 
 // rawPath returns the path exactly as it was sent. The request line may contain
 // a path or a whole URL. With fasthttp's own accessor for the path, the request
@@ -185,7 +185,7 @@
 	}
 	reply := LocalReply{Status: status, Outcome: outcome, Reason: reason}
 	if status == fasthttp.StatusServiceUnavailable {
-		reply.RetryAfter = startupRetryAfter
+		reply.RetryAfter = earlyRetryAfter
 	}
 	node.dialect.LocalReply(&request.Response, reply)
 	node.log.V(1).Info("call refused before any try", "id", info.ID, "status", status, "reason", reason)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,8 +250,8 @@
 	node.rpcClient = link.NewClient(background, node.options())
 	node.registerGauges()
 	group := tasks.New(8)
-	callers := node.newServer(node.serveCaller, node.limits)
-	gates := node.newServer(node.gate.serve, front.DefaultLimits)
+	callers := node.newServer(node.serveCaller, node.limits, node.rejectCaller)
+	gates := node.newServer(node.gate.serve, front.DefaultLimits, node.gate.reject)
 	admin := &fasthttp.Server{Handler: node.serveAdmin, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, Logger: discardLogger{}}
 	group.Go(background, "tree", func(ctx context.Context) error { return node.tree.Run(ctx, opened.link) })
 	group.Go(background, "bookkeeping", node.runBookkeeping)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -9,7 +9,6 @@
 
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/front"
-	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
 // listeners are the node's open listeners.
@@ -77,23 +76,26 @@
 	}
 }
 
-func (node *Node) newServer(handler front.Handler, limits func() front.Limits) *front.Server {
-	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.callPool, WriteError: node.writeError, Memory: node.bodies})
+func (node *Node) newServer(handler front.Handler, limits func() front.Limits, writeError func(*fasthttp.RequestCtx, int)) *front.Server {
+	return front.New(front.Deps{Handler: handler, Limits: limits, Pool: node.callPool, WriteError: writeError, Memory: node.bodies})
 }
 
-// busyRetryAfter is about the time in which calls in progress end and free a
-// worker or the memory of their bodies.
-const busyRetryAfter = 200 * time.Millisecond
-
-// writeError responds to a request that cannot be parsed, or that cannot be
-// served for lack of a worker. In both cases the call has not run.
-func (node *Node) writeError(response *fasthttp.Response, status int) {
+// rejectCaller responds to a caller's request that cannot be parsed, or that cannot
+// be served for lack of memory or of a worker.
+func (node *Node) rejectCaller(request *fasthttp.RequestCtx, status int) {
 	node.stats.Count("vp_requests_refused_total", 1)
-	reply := LocalReply{Status: status, Outcome: proxy.OutcomeNotRun, Reason: fasthttp.StatusMessage(status)}
-	if status == fasthttp.StatusServiceUnavailable {
-		reply.RetryAfter = busyRetryAfter
+	info, err := node.dialect.RequestInfo(&request.Request)
+	if err != nil {
+		node.log.V(1).Info("rejected request without readable metadata", "status", status, "error", err.Error())
 	}
-	node.dialect.LocalReply(response, reply)
+	node.refuseEarly(request, info, status, fasthttp.StatusMessage(status))
+}
+
+// reject is rejectCaller for a request of an entry node. The outcome is that of this
+// try; the entry node knows whether there were others.
+func (gate *gate) reject(request *fasthttp.RequestCtx, status int) {
+	gate.node.stats.Count("vp_requests_refused_total", 1)
+	gate.refuse(request, refusal{status: status, reason: fasthttp.StatusMessage(status)})
 }
 
 type discardLogger struct{}
