quota: a response that is not delivered returns its memory

Cause, found by reading: a call that is sent again kept the charge of responses that were cut off or belonged to another call until it ended, so that a whole answer could be refused for memory that nothing used. Change: a meter can discard the last body; an exchange does so on failure and mismatch.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -98,11 +98,13 @@
 func (pools *Pools) receiveMatching(ctx context.Context, conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
 	for range maxMismatchedResponses + 1 {
 		if err := conn.readResponse(quota.FromContext(ctx), request, response, pools.settings); err != nil {
+			conn.meter.Discard()
 			return err
 		}
 		if pools.settings.Belongs == nil || pools.settings.Belongs(request, response) {
 			return nil
 		}
+		conn.meter.Discard()
 		if response.ConnectionClose() {
 			break
 		}
@@ -125,6 +127,7 @@
 // Its memory is charged to the hold, which may be nil.
 func (conn *conn) readResponse(hold *quota.Hold, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
 	response.SkipBody = request.Header.IsHead()
+	conn.meter.Reset()
 	for {
 		if err := response.Header.Read(conn.reader); err != nil {
 			return err
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/quota"
 )
 
 // peer is a test server. For each request it calls a function that writes the
@@ -219,3 +221,43 @@
 		t.Fatal("the disconnect was not detected")
 	}
 }
+
+// TestFailedExchangesReturnTheirMemory sends a call again after responses that were
+// cut off and after one to another call. Only the response that is delivered may
+// count towards the memory of the call.
+func TestFailedExchangesReturnTheirMemory(t *testing.T) {
+	const size = 200 << 10
+	body := strings.Repeat("b", size)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body)
+	other := strings.Replace(whole, "OK\r\n", "OK\r\nOther: yes\r\n", 1)
+	answers := map[string]string{
+		"/cut":     whole[:len(whole)/2],
+		"/chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + body,
+		"/other":   other + whole,
+		"/nothing": "HTTP/1.1 304 Not Modified\r\n\r\n",
+	}
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		_, _ = io.WriteString(conn, answers[path])
+		return path == "/other"
+	})
+	settings := DefaultSettings()
+	settings.Belongs = func(_ *fasthttp.Request, response *fasthttp.Response) bool {
+		return len(response.Header.Peek("Other")) == 0
+	}
+	pools, budget := New(settings, time.Now), quota.New(10<<20)
+	hold := budget.NewHold()
+	send := func(path string) error {
+		ctx, cancel := context.WithTimeout(quota.NewContext(t.Context(), hold), 5*time.Second)
+		defer cancel()
+		var request fasthttp.Request
+		var response fasthttp.Response
+		request.SetRequestURI("http://" + peer.address() + path)
+		return pools.Do(ctx, peer.address(), &request, &response)
+	}
+	require.Error(t, send("/cut"))
+	require.Error(t, send("/chunks"))
+	require.NoError(t, send("/nothing"))
+	require.Zero(t, budget.Held())
+	require.NoError(t, send("/other"))
+	require.EqualValues(t, size, budget.Held())
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,7 +1,8 @@
 // Package quota shares a fixed number of bytes of memory among the message bodies
 // that a process holds at the same time.
 //
-// The package uses no clock, socket or goroutine.
+// The package uses no clock or goroutine, and its decisions no input or output: a
+// Meter reads from whatever reader it is given.
 package quota
 
 import (
@@ -88,6 +89,14 @@
 	return nil
 }
 
+// shrink returns some of the bytes of the hold.
+func (hold *Hold) shrink(bytes int64) {
+	hold.budget.lock.Lock()
+	defer hold.budget.lock.Unlock()
+	hold.bytes -= bytes
+	hold.budget.held -= bytes
+}
+
 // Release returns all bytes of the hold.
 func (hold *Hold) Release() {
 	hold.budget.lock.Lock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -66,3 +66,20 @@
 	require.Len(t, got, FreeBytes)
 	require.Zero(t, budget.Peak())
 }
+
+// TestDiscardReturnsOnlyTheLastBody reads a body that is kept and one that is not.
+func TestDiscardReturnsOnlyTheLastBody(t *testing.T) {
+	const kept = 100 << 10
+	budget := New(10 << 20)
+	hold := budget.NewHold()
+	meter := NewMeter(io.LimitReader(endless{}, 1<<20))
+	require.NoError(t, meter.Start(hold, kept))
+	meter.Stop()
+	require.NoError(t, meter.Start(hold, -1))
+	require.ErrorIs(t, readAll(meter), io.EOF)
+	require.Greater(t, budget.Held(), int64(kept))
+	meter.Discard()
+	require.EqualValues(t, kept, budget.Held())
+	meter.Discard()
+	require.EqualValues(t, kept, budget.Held(), "a body is returned only once")
+}
