node: what upstreams state in responses is read, logged and counted

Before, no log line or metric named the limit or the rate of calls that a gate sends, so the hypotheses could not be told apart. Responses' limit and leaving statements are decoded at the dialect and tracked with the incarnation of the upstream; a limited upstream gets one log line a second with the limit and the calls sent. Admission does not use any of it yet.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,6 +78,8 @@
 	current Notice
 	present bool
 	expires time.Time
+	// limit is that of the incarnation in current.
+	limit limitState
 	// deregistrations is ordered from the oldest to the latest.
 	deregistrations []deregistration
 }
@@ -116,10 +118,19 @@
 		// Draining cannot be undone within an incarnation.
 		notice.Draining = notice.Draining || tracker.current.Draining
 	}
-	tracker.current, tracker.present, tracker.expires = notice, true, now.Add(ttl)
+	tracker.setCurrent(notice)
+	tracker.present, tracker.expires = true, now.Add(ttl)
 	return true
 }
 
+// setCurrent replaces the latest notice. A rate limit holds for one incarnation.
+func (tracker *Tracker) setCurrent(notice Notice) {
+	if !notice.sameIncarnation(tracker.current) {
+		tracker.limit = limitState{}
+	}
+	tracker.current = notice
+}
+
 // Deregister marks the upstream with this ID as absent if it is present and not
 // of a later incarnation than born, and reports whether it did so. If the ID is
 // not empty, Deregister also records the incarnation, so that notices of this
@@ -192,7 +203,7 @@
 	if tracker.present || tracker.deregistered(notice.ID, notice.Born) || !notice.supersedes(tracker.current) {
 		return
 	}
-	tracker.current = notice
+	tracker.setCurrent(notice)
 	if notice.Address != "" && notice.Service != "" {
 		tracker.present, tracker.expires = true, now.Add(ttl)
 	}
--- /dev/null
+++ b/internal/lease/statement.go
@@ -0,0 +1,70 @@
+package lease
+
+import "time"
+
+// RateLimit is the rate of calls that an upstream accepts from all nodes
+// together. The zero value means that there is no limit.
+type RateLimit struct {
+	limited   bool
+	perSecond float64
+}
+
+// NewRateLimit returns a limit in calls per second, which must not be negative.
+func NewRateLimit(perSecond float64) RateLimit {
+	return RateLimit{limited: true, perSecond: perSecond}
+}
+
+// PerSecond returns the limit in calls per second, and false if there is none.
+func (limit RateLimit) PerSecond() (float64, bool) { return limit.perSecond, limit.limited }
+
+// Statement is what an upstream states about itself in a response.
+type Statement struct {
+	// Limit is the rate limit that the response states.
+	Limit RateLimit
+	// LimitUnreadable is true if the response states a limit that could not be
+	// parsed. Limit has no meaning then.
+	LimitUnreadable bool
+	// Leaving is true if the upstream is about to stop.
+	Leaving bool
+}
+
+// limitState is the rate limit of the current incarnation of the upstream.
+type limitState struct {
+	limit RateLimit
+	// since is the time from which a limit has been in force without a break.
+	since time.Time
+	// stated is the time at which a response last stated a limit.
+	stated time.Time
+}
+
+// RateLimit returns the limit in force and the time from which a limit has been
+// in force without a break.
+func (tracker *Tracker) RateLimit() (RateLimit, time.Time) {
+	return tracker.limit.limit, tracker.limit.since
+}
+
+// Observe applies what the upstream of a notice stated in a response to a call
+// that was sent at the given time. It ignores an upstream other than the current
+// incarnation. A limit ends with a response that does not state it, to a call that
+// was sent after the last response that did: responses may overtake each other.
+// Observe reports whether the limit changed.
+func (tracker *Tracker) Observe(now, sent time.Time, upstream Notice, statement Statement) (limitChanged bool) {
+	if !upstream.sameIncarnation(tracker.current) || statement.LimitUnreadable {
+		return false
+	}
+	state := &tracker.limit
+	if !statement.Limit.limited {
+		if !state.limit.limited || !sent.After(state.stated) {
+			return false
+		}
+		*state = limitState{}
+		return true
+	}
+	state.stated = now
+	if !state.limit.limited {
+		state.since = now
+	}
+	limitChanged = state.limit != statement.Limit
+	state.limit = statement.Limit
+	return limitChanged
+}
--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
@@ -50,6 +52,8 @@
 	// Unverified is true for a response without the proof of authenticity that
 	// the dialect requires.
 	Unverified bool
+	// Statement is what the upstream states about itself.
+	Statement lease.Statement
 }
 
 // LocalReply is a response that the node generates itself.
@@ -122,8 +126,35 @@
 	return len(echo) == 0 || bytes.Equal(echo, request.Header.Peek(proxy.HeaderRequestID))
 }
 
-// ResponseInfo implements Dialect. Upstreams of this dialect send no metadata.
-func (defaultDialect) ResponseInfo(*fasthttp.Response) ResponseInfo { return ResponseInfo{} }
+// ResponseInfo implements Dialect. Upstreams of this dialect state nothing but a
+// rate limit and that they are leaving.
+func (defaultDialect) ResponseInfo(response *fasthttp.Response) ResponseInfo {
+	return ResponseInfo{Statement: ParseStatement(response, proxy.HeaderLimit, proxy.HeaderLeaving)}
+}
+
+// ParseStatement reads what an upstream states about itself from the headers with
+// the given names. The limit is a decimal number of calls per second. If a response
+// has several limits, the lowest one counts.
+func ParseStatement(response *fasthttp.Response, limitHeader, leavingHeader string) lease.Statement {
+	var statement lease.Statement
+	for _, text := range response.Header.PeekAll(limitHeader) {
+		perSecond, err := strconv.ParseFloat(string(bytes.TrimSpace(text)), 64)
+		if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+			statement.LimitUnreadable = true
+			continue
+		}
+		if lowest, limited := statement.Limit.PerSecond(); !limited || perSecond < lowest {
+			statement.Limit = lease.NewRateLimit(perSecond)
+		}
+	}
+	if _, limited := statement.Limit.PerSecond(); limited {
+		statement.LimitUnreadable = false
+	}
+	for _, text := range response.Header.PeekAll(leavingHeader) {
+		statement.Leaving = statement.Leaving || string(bytes.TrimSpace(text)) == "1"
+	}
+	return statement
+}
 
 // Ran implements Dialect.
 func (defaultDialect) Ran(*fasthttp.Response) {}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -38,6 +38,7 @@
 	tracker        *lease.Tracker
 	nodeLeaving    bool
 	failedConnects int
+	limitLog       limitLog
 }
 
 func newGate(node *Node) *gate {
@@ -388,9 +389,10 @@
 	deadline, _ := ctx.Deadline()
 	gate.node.dialect.ForwardInfo(outgoing, ForwardInfo{Timeout: deadline.Sub(started), UpstreamID: upstream.ID, CallerService: callerService})
 	gate.node.parentCalls.begin(id, priority)
+	gate.countSent()
 	err := gate.node.upstreamPools.Do(ctx, upstream.Address, outgoing, &request.Response)
 	starved := gate.node.parentCalls.end(id)
-	outcome := gate.finishResponse(ctx, upstream, id, request, err)
+	outcome := gate.finishResponse(ctx, upstream, started, id, request, err)
 	request.Response.Header.Del(proxy.HeaderStarved)
 	if starved && outcome == proxy.OutcomeRan {
 		request.Response.Header.Set(proxy.HeaderStarved, "yes")
@@ -405,8 +407,8 @@
 }
 
 // finishResponse sets the outcome headers of the response. The outcome is ran
-// or not-run only if that is certain.
-func (gate *gate) finishResponse(ctx context.Context, upstream lease.Notice, id string, request *fasthttp.RequestCtx, err error) proxy.Outcome {
+// or not-run only if that is certain. The call was sent at the given time.
+func (gate *gate) finishResponse(ctx context.Context, upstream lease.Notice, sent time.Time, id string, request *fasthttp.RequestCtx, err error) proxy.Outcome {
 	if err != nil {
 		return gate.respondToFailure(ctx, upstream, id, request, err)
 	}
@@ -416,6 +418,8 @@
 	info := gate.node.dialect.ResponseInfo(&request.Response)
 	if info.WrongUpstream {
 		gate.withdraw("another upstream answers at its address")
+	} else if !info.Unverified {
+		gate.observe(sent, upstream, info.Statement)
 	}
 	switch {
 	case info.WrongUpstream || info.NotRun:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,6 +298,7 @@
 			node.synced.Store(true)
 		}
 		node.gate.expire()
+		node.gate.logLimit(node.now())
 	})
 }
 
@@ -350,6 +351,7 @@
 	node.stats.Gauge("vp_calls_in_flight", func() float64 { return float64(node.gate.load().InFlight) })
 	node.stats.Gauge("vp_body_memory_bytes", func() float64 { return float64(node.bodies.Held()) })
 	node.stats.Gauge("vp_body_memory_peak_bytes", func() float64 { return float64(node.bodies.Peak()) })
+	node.stats.Gauge("vp_upstream_limit_per_second", node.gate.upstreamLimit)
 	node.stats.Gauge("vp_calls_queued", func() float64 { return float64(node.gate.load().Queued) })
 }
 
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -52,6 +52,12 @@
 	// HeaderStarved is set on responses between nodes if a call that the upstream
 	// made while it handled this one was refused for lack of capacity.
 	HeaderStarved = "Vp-Starved"
+	// HeaderLimit is set on responses of an upstream that is limited in its rate. It
+	// is the number of calls per second that the upstream accepts from all nodes
+	// together, a decimal number. The limit holds until a response states none.
+	HeaderLimit = "Vp-Limit"
+	// HeaderLeaving is "1" on responses of an upstream that is about to stop.
+	HeaderLeaving = "Vp-Leaving"
 	// HeaderTarget names the target that responded.
 	HeaderTarget = "Vp-Target"
 )
