gate: calls are spaced at the rate limit that the upstream states

Cause: admission knew slots only; the statement passed through unread. The gate is the one place that every call to an upstream passes, so the limit is enforced there, by a pacer (generic cell rate algorithm) beside the slots: in any window at most limit x (window + 0.25 s) + 1 calls. Waiting calls are admitted by a task that sleeps until the next turn; what cannot have its turn in time is refused at once, with the time of the next free turn; a limit that falls refuses at once what it makes hopeless. Under a limit near zero one call in 2 s still goes, since without a response the end of the limit would never be seen. A limit ends with a response that does not state it, to a call sent after the last one that did.

Ruled out: a limit per entry node, since the sum would need a coordinator and a share for each node; a mean rate with a queue let go at once.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,6 +1,7 @@
 // Package limit implements admission control at a target's node: a fixed number
-// of slots, a short queue that takes deadlines into account and is shared fairly
-// among customers, and draining. A refused call has not run.
+// of slots, an optional limit on the rate of calls, a short queue that takes
+// deadlines into account and is shared fairly among customers, and draining. A
+// refused call has not run.
 //
 // The package uses no clock, socket or goroutine: callers pass in the current
 // time.
@@ -10,6 +11,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/pacer"
 )
 
 // Reason is the reason for refusing a call.
@@ -20,6 +23,9 @@
 	ReasonDraining Reason = "draining"
 	ReasonFull     Reason = "full"
 	ReasonDeadline Reason = "deadline"
+	// ReasonRate is the reason if the target's rate limit alone prevents the call
+	// from running in time.
+	ReasonRate Reason = "rate limit"
 )
 
 // Ticket represents one call. Nothing blocks on a ticket: Arrive returns the
@@ -115,6 +121,8 @@
 	inFlight int
 	queued   int
 	draining bool
+	// pacer enforces the rate limit of the target, if it has one.
+	pacer pacer.Pacer
 	// levels holds the waiting calls of each priority. A level without waiting
 	// calls is removed.
 	levels map[int]*level
@@ -198,15 +206,15 @@
 	if !now.Before(ticket.deadline) {
 		return Refuse, ReasonDeadline
 	}
-	if limiter.inFlight < limiter.slots && limiter.queued == 0 {
+	if limiter.inFlight < limiter.slots && limiter.queued == 0 && limiter.pacer.Take(now) {
 		limiter.inFlight++
 		return Run, ""
 	}
 	if !ticket.mayQueue {
-		return Refuse, ReasonFull
+		return Refuse, limiter.causeOf(ReasonFull)
 	}
-	if !ticket.worthQueueing(now, limiter.expectedWait(ticket), limiter.serviceTimeOf(ticket.priority)) {
-		return Refuse, ReasonDeadline
+	if !ticket.worthQueueing(now, limiter.expectedWait(now, ticket), limiter.serviceTimeOf(ticket.priority)) {
+		return Refuse, limiter.causeOf(ReasonDeadline)
 	}
 	if limiter.queued >= limiter.maxQueue && !limiter.displace(ticket) {
 		return Refuse, ReasonFull
@@ -215,10 +223,10 @@
 	return Wait, ""
 }
 
-// expectedWait estimates how long a new call would wait for a slot. More urgent
+// expectedWait estimates how long a new call would wait until it runs. More urgent
 // calls go first. Within the same priority, customers are served round-robin,
 // one call of each customer per round.
-func (limiter *Limiter) expectedWait(ticket *Ticket) time.Duration {
+func (limiter *Limiter) expectedWait(now time.Time, ticket *Ticket) time.Duration {
 	callsAhead := 1
 	for priority, level := range limiter.levels {
 		switch {
@@ -228,7 +236,23 @@
 			callsAhead += level.callsAhead(ticket.customer)
 		}
 	}
-	return limiter.serviceTime * time.Duration(callsAhead) / time.Duration(max(1, limiter.slots))
+	return limiter.waitOf(now, callsAhead)
+}
+
+// waitOf estimates how long it takes until the n-th of the waiting calls runs,
+// counted from 1.
+func (limiter *Limiter) waitOf(now time.Time, n int) time.Duration {
+	waitForSlot := limiter.serviceTime * time.Duration(n) / time.Duration(max(1, limiter.slots))
+	return max(waitForSlot, limiter.pacer.Delay(now, n))
+}
+
+// causeOf returns ReasonRate if slots are free, so that the rate limit is the cause
+// of a refusal, and otherwise the given reason.
+func (limiter *Limiter) causeOf(reason Reason) Reason {
+	if limiter.pacer.Limited() && limiter.inFlight < limiter.slots {
+		return ReasonRate
+	}
+	return reason
 }
 
 // serviceTimeOf returns the mean service time of the calls of a priority, or of
@@ -253,10 +277,10 @@
 	return callsAhead
 }
 
-// RetryAfter estimates how long it takes until a call that is refused now would
-// find a free slot.
-func (limiter *Limiter) RetryAfter() time.Duration {
-	return limiter.serviceTime * time.Duration(limiter.queued+1) / time.Duration(max(1, limiter.slots))
+// RetryAfter estimates how long it takes until a call that is refused now could
+// run.
+func (limiter *Limiter) RetryAfter(now time.Time) time.Duration {
+	return limiter.waitOf(now, limiter.queued+1)
 }
 
 // displace refuses a waiting call to make room for the arriving one and reports
@@ -339,6 +363,7 @@
 // ReleaseSlot frees the slot of a call that was admitted but did not run.
 func (limiter *Limiter) ReleaseSlot(now time.Time) {
 	limiter.inFlight--
+	limiter.pacer.Return()
 	limiter.admitQueued(now)
 }
 
@@ -358,11 +383,11 @@
 	limiter.admitQueued(now)
 }
 
-// admitQueued admits waiting calls while slots are free: the most urgent
-// priority first, and its customers in turn. Calls that can no longer finish in
-// time are refused.
+// admitQueued admits waiting calls while slots are free and the rate limit allows
+// it: the most urgent priority first, and its customers in turn. Calls that can no
+// longer finish in time are refused.
 func (limiter *Limiter) admitQueued(now time.Time) {
-	for limiter.inFlight < limiter.slots && limiter.queued > 0 {
+	for limiter.inFlight < limiter.slots && limiter.queued > 0 && limiter.pacer.Delay(now, 1) == 0 {
 		priority := limiter.priorities()[0]
 		level := limiter.levels[priority]
 		customer := level.rotation[0]
@@ -374,6 +399,7 @@
 			ticket.onDecision(ReasonDeadline)
 			continue
 		}
+		limiter.pacer.Take(now)
 		limiter.inFlight++
 		ticket.onDecision("")
 	}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -30,7 +30,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"gate": scriptGate, "rank": scriptRank, "arrive": scriptArrive, "done": scriptDone,
-			"pass": scriptPass, "drain": scriptDrain, "cancel": scriptCancel, "want": scriptWant,
+			"pass": scriptPass, "rate": scriptRate, "drain": scriptDrain, "cancel": scriptCancel, "want": scriptWant,
 		},
 	})
 }
@@ -102,12 +102,26 @@
 	}
 }
 
-// pass DURATION advances the clock and expires waiting calls.
+// rate PERSECOND|none sets or removes the limit on the rate of calls.
+func scriptRate(ts *testscript.TestScript, _ bool, args []string) {
+	fixture := fixtureOf(ts)
+	if args[0] == "none" {
+		fixture.limiter.ClearRate(fixture.now)
+		return
+	}
+	perSecond, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	fixture.limiter.SetRate(fixture.now, perSecond)
+}
+
+// pass DURATION advances the clock, expires waiting calls and admits those that the
+// rate limit held back.
 func scriptPass(ts *testscript.TestScript, _ bool, args []string) {
 	duration, err := time.ParseDuration(args[0])
 	ts.Check(err)
 	fixtureOf(ts).now = fixtureOf(ts).now.Add(duration)
 	fixtureOf(ts).limiter.Expire(fixtureOf(ts).now)
+	fixtureOf(ts).limiter.Admit(fixtureOf(ts).now)
 }
 
 // drain drains the limiter.
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -39,10 +39,15 @@
 	nodeLeaving    bool
 	failedConnects int
 	limitLog       limitLog
+	// pacing wakes runPacing when a call may wait for the rate limit.
+	pacing chan struct{}
 }
 
 func newGate(node *Node) *gate {
-	return &gate{node: node, log: node.logs.Layer("gate"), limit: limit.New(0, node.settings.Queue), tracker: lease.New()}
+	return &gate{
+		node: node, log: node.logs.Layer("gate"), limit: limit.New(0, node.settings.Queue), tracker: lease.New(),
+		pacing: make(chan struct{}, 1),
+	}
 }
 
 // record returns the membership record of this node and its upstream.
@@ -134,6 +139,7 @@
 func (gate *gate) applyNotice(notice lease.Notice) {
 	gate.failedConnects = 0
 	gate.limit.SetSlots(gate.node.now(), notice.Slots)
+	gate.applyLimit()
 	if notice.Draining || gate.nodeLeaving {
 		gate.limit.Drain()
 		return
@@ -296,7 +302,7 @@
 	return ticket
 }
 
-// acquireSlot waits for a slot. If it returns no refusal, the caller has a slot
+// acquireSlot waits for a slot and for the rate limit of the upstream. If it returns no refusal, the caller has a slot
 // and must call releaseSlot or returnUnusedSlot. The reason "wrong version"
 // also covers a missing upstream and an upstream of another service.
 func (gate *gate) acquireSlot(ctx context.Context, request *fasthttp.Request) (lease.Notice, *refusal) {
@@ -318,7 +324,8 @@
 		return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reason}
 	}
 	verdict, reason := gate.limit.Arrive(gate.node.now(), ticket)
-	slotAfter := gate.limit.RetryAfter()
+	slotAfter := gate.limit.RetryAfter(gate.node.now())
+	gate.wakePacing()
 	gate.lock.Unlock()
 	switch verdict {
 	case limit.Run:
@@ -363,6 +370,7 @@
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.limit.Done(gate.node.now(), priority, duration)
+	gate.wakePacing()
 }
 
 // returnUnusedSlot releases a slot that was not used.
@@ -370,6 +378,7 @@
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.limit.ReleaseSlot(gate.node.now())
+	gate.wakePacing()
 }
 
 // forward sends the call to the upstream and returns the outcome that was
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,12 +249,13 @@
 	node.ctx = background
 	node.rpcClient = link.NewClient(background, node.options())
 	node.registerGauges()
-	group := tasks.New(8)
+	group := tasks.New(9)
 	callers := node.newServer(node.serveCaller, node.limits, node.rejectCaller)
 	gates := node.newServer(node.gate.serve, front.DefaultLimits, node.gate.reject)
 	admin := &fasthttp.Server{Handler: node.serveAdmin, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, Logger: discardLogger{}}
 	group.Go(background, "tree", func(ctx context.Context) error { return node.tree.Run(ctx, opened.link) })
 	group.Go(background, "bookkeeping", node.runBookkeeping)
+	group.Go(background, "pacing", node.gate.runPacing)
 	group.Go(background, "guard", node.guard.run)
 	group.Go(background, "callers", func(ctx context.Context) error { return callers.Serve(ctx, opened.callers) })
 	group.Go(background, "gate", func(ctx context.Context) error { return gates.Serve(ctx, opened.gate) })
--- a/internal/node/result.go
+++ b/internal/node/result.go
@@ -27,8 +27,8 @@
 	// mayHaveReachedUpstream is true unless it is certain that no upstream
 	// received the call.
 	mayHaveReachedUpstream bool
-	// full is true if a gate refused the call because it had no free slot,
-	// either immediately or until the deadline.
+	// full is true if a gate refused the call because it had no free slot or
+	// because of its upstream's rate limit, either immediately or until the deadline.
 	full bool
 	// unreachable is true if a gate refused the call because it could not connect to
 	// its upstream.
@@ -71,7 +71,10 @@
 		if classified.mayHaveReachedUpstream {
 			classified.pickerResult = picker.ResultFailed
 		}
-		classified.full = classified.reason == string(limit.ReasonFull) || classified.reason == string(limit.ReasonDeadline)
+		switch limit.Reason(classified.reason) {
+		case limit.ReasonFull, limit.ReasonDeadline, limit.ReasonRate:
+			classified.full = true
+		}
 		classified.unreachable = classified.reason == reasonUnreachable
 		classified.final = response.StatusCode() < fasthttp.StatusInternalServerError
 	default:
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/vanillapulley/vanillapulley/internal/lease"
@@ -26,6 +27,10 @@
 	before, _ := gate.tracker.RateLimit()
 	changed := gate.tracker.Observe(now, sent, upstream, statement)
 	after, _ := gate.tracker.RateLimit()
+	if changed {
+		gate.applyLimit()
+		gate.wakePacing()
+	}
 	gate.lock.Unlock()
 	if statement.LimitUnreadable {
 		gate.node.stats.Count("vp_upstream_limit_unreadable_total", 1)
@@ -37,6 +42,52 @@
 	}
 }
 
+// applyLimit sets the rate at which calls are admitted to that of the upstream. The
+// lock must be held.
+func (gate *gate) applyLimit() {
+	limit, _ := gate.tracker.RateLimit()
+	if perSecond, limited := limit.PerSecond(); limited {
+		gate.limit.SetRate(gate.node.now(), perSecond)
+	} else {
+		gate.limit.ClearRate(gate.node.now())
+	}
+}
+
+// wakePacing makes runPacing look for the next call that waits for the rate limit.
+// The lock must be held.
+func (gate *gate) wakePacing() {
+	if _, waiting := gate.limit.NextAdmission(gate.node.now()); !waiting {
+		return
+	}
+	select {
+	case gate.pacing <- struct{}{}:
+	default:
+	}
+}
+
+// runPacing admits the calls that wait for the rate limit when their turn comes,
+// until the context ends.
+func (gate *gate) runPacing(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-gate.pacing:
+		case <-timer.C:
+		}
+		now := gate.node.now()
+		gate.lock.Lock()
+		gate.limit.Admit(now)
+		delay, waiting := gate.limit.NextAdmission(now)
+		gate.lock.Unlock()
+		if waiting {
+			timer.Reset(delay)
+		}
+	}
+}
+
 // logLimit writes a line about a limited upstream once per limitLogInterval.
 func (gate *gate) logLimit(now time.Time) {
 	gate.lock.Lock()
--- a/internal/node/statement_test.go
+++ b/internal/node/statement_test.go
@@ -158,3 +158,22 @@
 	require.Equal(t, fasthttp.StatusServiceUnavailable, callGate(node, nil), "a later notice of the same instance")
 	require.Equal(t, 1, upstream.calls())
 }
+
+// TestCallsWaitForTheRateLimit sends calls that may queue to a limited upstream
+// with free slots. All are served once their turn comes, none needs another event
+// to be let go.
+func TestCallsWaitForTheRateLimit(t *testing.T) {
+	clock := newTestClock()
+	upstream := startStatingUpstream(t, clock)
+	node := startNode(t, "n1", kindConfig(t))
+	upstream.state(map[string]string{proxy.HeaderLimit: "40"})
+	announce(t, node, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: upstream.address})
+	require.Equal(t, fasthttp.StatusOK, send(t, node, "GET", "/again/x"))
+	statuses := make(chan int, 20)
+	for range cap(statuses) {
+		go func() { statuses <- send(t, node, "GET", "/again/x") }()
+	}
+	for range cap(statuses) {
+		require.Equal(t, fasthttp.StatusOK, <-statuses)
+	}
+}
