gate: an upstream that states in a response that it is leaving gets no further calls

A genuine response with the statement now has the effect of a draining notice: it is final for the incarnation, the gate refuses new calls from then on, waiting calls are refused, and the record is published. Responses of another upstream, of another incarnation and without the proof of authenticity state nothing.

--- a/internal/lease/statement.go
+++ b/internal/lease/statement.go
@@ -44,15 +44,28 @@
 }
 
 // Observe applies what the upstream of a notice stated in a response to a call
-// that was sent at the given time. It ignores an upstream other than the current
-// incarnation. A limit ends with a response that does not state it, to a call that
-// was sent after the last response that did: responses may overtake each other.
-// Observe reports whether the limit changed.
-func (tracker *Tracker) Observe(now, sent time.Time, upstream Notice, statement Statement) (limitChanged bool) {
-	if !upstream.sameIncarnation(tracker.current) || statement.LimitUnreadable {
+// that was sent at the given time, and reports whether that changed the rate limit
+// or whether the upstream accepts new work. It ignores an upstream other than the
+// current incarnation. An upstream that is leaving accepts no new work from then
+// on, as after a draining notice. A limit ends with a response that does not state
+// it, to a call that was sent after the last response that did: responses may
+// overtake each other.
+func (tracker *Tracker) Observe(now, sent time.Time, upstream Notice, statement Statement) bool {
+	if !upstream.sameIncarnation(tracker.current) {
+		return false
+	}
+	left := statement.Leaving && tracker.present && !tracker.current.Draining
+	if left {
+		tracker.current.Draining = true
+	}
+	return tracker.limit.observe(now, sent, statement) || left
+}
+
+// observe applies the limit of a statement and reports whether the limit changed.
+func (state *limitState) observe(now, sent time.Time, statement Statement) bool {
+	if statement.LimitUnreadable {
 		return false
 	}
-	state := &tracker.limit
 	if !statement.Limit.limited {
 		if !state.limit.limited || !sent.After(state.stated) {
 			return false
@@ -64,7 +77,7 @@
 	if !state.limit.limited {
 		state.since = now
 	}
-	limitChanged = state.limit != statement.Limit
+	changed := state.limit != statement.Limit
 	state.limit = statement.Limit
-	return limitChanged
+	return changed
 }
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -20,24 +20,43 @@
 }
 
 // observe applies what the upstream stated about itself in a genuine response to a
-// call that was sent at the given time.
+// call that was sent at the given time. If it stated that it is leaving, no further
+// call reaches it once observe has returned, and other nodes are told.
 func (gate *gate) observe(sent time.Time, upstream lease.Notice, statement lease.Statement) {
+	if statement.LimitUnreadable {
+		gate.node.stats.Count("vp_upstream_limit_unreadable_total", 1)
+	}
 	now := gate.node.now()
 	gate.lock.Lock()
-	before, _ := gate.tracker.RateLimit()
+	before, limitBefore := gate.tracker.Last(), gate.rateLimit()
 	changed := gate.tracker.Observe(now, sent, upstream, statement)
-	after, _ := gate.tracker.RateLimit()
+	after, limitAfter := gate.tracker.Last(), gate.rateLimit()
 	if changed {
 		gate.applyLimit()
 		gate.wakePacing()
 	}
+	if after.Draining {
+		gate.limit.Drain()
+	}
 	gate.lock.Unlock()
-	if statement.LimitUnreadable {
-		gate.node.stats.Count("vp_upstream_limit_unreadable_total", 1)
+	if after.Draining && !before.Draining {
+		gate.log.Info("upstream stated that it is leaving", "upstream", upstream.ID, "born", upstream.Born)
+		gate.node.publishRecord()
 	}
+	gate.logLimitChange(upstream, limitBefore, limitAfter)
+}
+
+// rateLimit returns the rate limit of the upstream. The lock must be held.
+func (gate *gate) rateLimit() lease.RateLimit {
+	limit, _ := gate.tracker.RateLimit()
+	return limit
+}
+
+// logLimitChange logs that a rate limit began or ended.
+func (gate *gate) logLimitChange(upstream lease.Notice, before, after lease.RateLimit) {
 	_, was := before.PerSecond()
 	perSecond, is := after.PerSecond()
-	if changed && was != is {
+	if was != is {
 		gate.log.Info("rate limit of the upstream began or ended", "upstream", upstream.ID, "born", upstream.Born, "limited", is, "perSecond", perSecond)
 	}
 }
@@ -45,8 +64,7 @@
 // applyLimit sets the rate at which calls are admitted to that of the upstream. The
 // lock must be held.
 func (gate *gate) applyLimit() {
-	limit, _ := gate.tracker.RateLimit()
-	if perSecond, limited := limit.PerSecond(); limited {
+	if perSecond, limited := gate.rateLimit().PerSecond(); limited {
 		gate.limit.SetRate(gate.node.now(), perSecond)
 	} else {
 		gate.limit.ClearRate(gate.node.now())
@@ -122,8 +140,7 @@
 func (gate *gate) upstreamLimit() float64 {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	limit, _ := gate.tracker.RateLimit()
-	if perSecond, limited := limit.PerSecond(); limited {
+	if perSecond, limited := gate.rateLimit().PerSecond(); limited {
 		return perSecond
 	}
 	return -1
