node: statements of an upstream outlast a restart of its gate

A gate that was killed or restarted knew nothing of a limit until the next response, and could believe an earlier notice of an upstream that had said that it is leaving: ten calls at once reached an upstream limited to 2 a second, and a call reached a leaving one (tests, failed before).

Builds of two ages: records are decoded leniently, an older node drops the limit from records that it passes on, an older gate ignores the headers; an entry node reads the upstream's own word of leaving behind an older gate.

--- a/internal/lease/statement.go
+++ b/internal/lease/statement.go
@@ -35,6 +35,9 @@
 	since time.Time
 	// stated is the time at which a response last stated a limit.
 	stated time.Time
+	// heard is true once a response of the incarnation has been observed. From then
+	// on, only responses change the limit.
+	heard bool
 }
 
 // RateLimit returns the limit in force and the time from which a limit has been
@@ -43,6 +46,25 @@
 	return tracker.limit.limit, tracker.limit.since
 }
 
+// AdoptLimit applies a limit that another node has learnt from a response of the
+// given incarnation, and reports whether the limit changed. It is meant for the time
+// after a restart of this node: once a response has been observed, the responses
+// alone count. Of two limits, the lower one is kept.
+func (tracker *Tracker) AdoptLimit(now time.Time, id string, born int64, limit RateLimit) bool {
+	state := &tracker.limit
+	if state.heard || !limit.limited || id == "" || !tracker.current.sameIncarnation(Notice{ID: id, Born: born}) {
+		return false
+	}
+	if state.limit.limited && state.limit.perSecond <= limit.perSecond {
+		return false
+	}
+	if !state.limit.limited {
+		state.since = now
+	}
+	state.limit = limit
+	return true
+}
+
 // Observe applies what the upstream of a notice stated in a response to a call
 // that was sent at the given time, and reports whether that changed the rate limit
 // or whether the upstream accepts new work. It ignores an upstream other than the
@@ -66,11 +88,12 @@
 	if statement.LimitUnreadable {
 		return false
 	}
+	state.heard = true
 	if !statement.Limit.limited {
 		if !state.limit.limited || !sent.After(state.stated) {
 			return false
 		}
-		*state = limitState{}
+		*state = limitState{heard: true}
 		return true
 	}
 	state.stated = now
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -58,6 +58,11 @@
 	ID       string
 	Born     int64
 	Sequence uint64
+	// Limit is the number of calls per second that the target accepts from all
+	// nodes together, according to its responses. It has a meaning only if Limited
+	// is true.
+	Limited bool
+	Limit   float64
 	// Draining is true when the target accepts no new calls, and Gone is true
 	// when it has left.
 	Draining bool
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -85,6 +85,7 @@
 	latency := node.now().Sub(started)
 	node.lock.Lock()
 	node.picker.Done(node.now(), target.Name, result.pickerResult, latency, result.load)
+	node.observeTarget(node.now(), target, result, response)
 	node.lock.Unlock()
 	if call.versionSet.rollout != nil {
 		node.guard.observe(*call.versionSet.rollout, target.Version, result, latency)
@@ -269,6 +270,10 @@
 	if !mayQueue {
 		header.Set(proxy.HeaderQueue, "no")
 	}
+	if perSecond, limited := target.Limit.PerSecond(); limited {
+		header.Set(proxy.HeaderLimit, formatRate(perSecond))
+		header.Set(proxy.HeaderInstance, formatInstance(target.ID, target.Born))
+	}
 	if !call.repeatable {
 		header.Set(proxy.HeaderOnce, "yes")
 	}
@@ -288,7 +293,7 @@
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Upgrade", "Te", "Expect",
 	proxy.HeaderTimeout, proxy.HeaderObjective, proxy.HeaderService, proxy.HeaderVersion, proxy.HeaderCaller,
-	proxy.HeaderPriority, proxy.HeaderQueue, proxy.HeaderOnce, proxy.HeaderAttempt,
+	proxy.HeaderPriority, proxy.HeaderQueue, proxy.HeaderOnce, proxy.HeaderAttempt, proxy.HeaderLimit, proxy.HeaderInstance,
 }
 
 // dropHopHeaders removes the headers that apply only to the caller's hop.
@@ -312,6 +317,9 @@
 		moveResponse(&call.request.Response, response)
 		call.request.Response.Header.Del(proxy.HeaderLoad)
 		call.request.Response.Header.Del(proxy.HeaderStarved)
+		call.request.Response.Header.Del(proxy.HeaderLimit)
+		call.request.Response.Header.Del(proxy.HeaderLeaving)
+		call.request.Response.Header.Del(proxy.HeaderInstance)
 		call.request.Response.Header.ResetConnectionClose()
 		node.dialect.Ran(&call.request.Response)
 		return last
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -39,6 +39,8 @@
 	nodeLeaving    bool
 	failedConnects int
 	limitLog       limitLog
+	// recordedLimit is the rate limit in the latest record.
+	recordedLimit lease.RateLimit
 	// pacing wakes runPacing when a call may wait for the rate limit.
 	pacing chan struct{}
 }
@@ -71,6 +73,8 @@
 			Gone:     gate.tracker.Deregistered(),
 		},
 	}
+	gate.recordedLimit = gate.rateLimit()
+	record.Upstream.Limit, record.Upstream.Limited = gate.recordedLimit.PerSecond()
 	switch {
 	case gate.nodeLeaving:
 		record.State = member.StateLeaving
@@ -162,6 +166,7 @@
 		Service: upstream.Service, Version: upstream.Version, Slots: upstream.Slots,
 		Address: gate.node.settings.Upstream,
 	}, upstream.Gone, gate.node.noticeTTL)
+	gate.tracker.AdoptLimit(gate.node.now(), upstream.ID, upstream.Born, recordedLimit(upstream))
 	notice, present := gate.tracker.Current()
 	if present {
 		gate.applyNotice(notice)
@@ -170,7 +175,7 @@
 	}
 	gate.lock.Unlock()
 	gate.log.Info("upstream restored from other nodes", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
-		"draining", upstream.Draining, "gone", upstream.Gone)
+		"draining", upstream.Draining, "gone", upstream.Gone, "limited", upstream.Limited, "perSecond", upstream.Limit)
 	// This runs under the tree's lock, so the record is published later, by the
 	// bookkeeping task.
 	gate.node.recordChanged.Store(true)
@@ -249,6 +254,7 @@
 	} else {
 		gate.serveUnkeyed(ctx, request)
 	}
+	gate.writeStatement(&request.Response.Header)
 	load := gate.load()
 	request.Response.Header.Set(proxy.HeaderLoad, fmt.Sprintf("%d/%d/%d", load.InFlight, load.Queued, load.ServiceTime.Milliseconds()))
 }
@@ -323,6 +329,7 @@
 		gate.logRefusal(string(request.Header.Peek(proxy.HeaderRequestID)), reason, present, ticket)
 		return lease.Notice{}, &refusal{status: fasthttp.StatusServiceUnavailable, reason: reason}
 	}
+	gate.adoptLimit(&request.Header)
 	verdict, reason := gate.limit.Arrive(gate.node.now(), ticket)
 	slotAfter := gate.limit.RetryAfter(gate.node.now())
 	gate.wakePacing()
@@ -412,7 +419,7 @@
 // gateHeaders are intended for the gate only and are not sent to the upstream.
 var gateHeaders = []string{
 	proxy.HeaderService, proxy.HeaderVersion, proxy.HeaderCaller, proxy.HeaderObjective,
-	proxy.HeaderPriority, proxy.HeaderQueue, proxy.HeaderOnce,
+	proxy.HeaderPriority, proxy.HeaderQueue, proxy.HeaderOnce, proxy.HeaderLimit, proxy.HeaderInstance,
 }
 
 // finishResponse sets the outcome headers of the response. The outcome is ran
@@ -425,6 +432,9 @@
 	header.ResetConnectionClose()
 	gate.recordConnect(true)
 	info := gate.node.dialect.ResponseInfo(&request.Response)
+	header.Del(proxy.HeaderLimit)
+	header.Del(proxy.HeaderLeaving)
+	header.Del(proxy.HeaderInstance)
 	if info.WrongUpstream {
 		gate.withdraw("another upstream answers at its address")
 	} else if !info.Unverified {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -330,6 +330,9 @@
 			Gate:    record.Gate,
 			Service: record.Upstream.Service,
 			Version: record.Upstream.Version,
+			ID:      record.Upstream.ID,
+			Born:    record.Upstream.Born,
+			Limit:   recordedLimit(record.Upstream),
 			Slots:   record.Upstream.Slots,
 			Suspect: record.State == member.StateSuspect,
 		})
--- a/internal/node/result.go
+++ b/internal/node/result.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
@@ -38,6 +39,13 @@
 	// starved is true for an error response of an upstream if one of the
 	// upstream's own calls was refused for lack of slots.
 	starved bool
+	// statement is what the upstream stated about itself. If instanceKnown is true,
+	// it is about the instance with instanceID that was started at instanceBorn,
+	// otherwise about the one that the call was sent to.
+	statement     lease.Statement
+	instanceKnown bool
+	instanceID    string
+	instanceBorn  int64
 	// slotAfter is the time after which the refusing gate expects a free slot.
 	slotAfter time.Duration
 }
@@ -55,7 +63,9 @@
 		load:                   readLoad(string(response.Header.Peek(proxy.HeaderLoad))),
 		mayHaveReachedUpstream: len(response.Header.Peek(proxy.HeaderTarget)) > 0,
 		slotAfter:              readMilliseconds(response.Header.Peek(proxy.HeaderRetry)),
+		statement:              defaultDialect{}.ResponseInfo(response).Statement,
 	}
+	classified.instanceID, classified.instanceBorn, classified.instanceKnown = parseInstance(string(response.Header.Peek(proxy.HeaderInstance)))
 	switch classified.outcome {
 	case proxy.OutcomeRan:
 		if response.StatusCode() >= fasthttp.StatusInternalServerError {
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -2,11 +2,38 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
+// observeTarget records what a target stated about itself in its response to a call.
+// The lock must be held.
+func (node *Node) observeTarget(now time.Time, target picker.Target, result result, response *fasthttp.Response) {
+	if result.load == nil {
+		// The response does not come from the target's gate.
+		return
+	}
+	instance := picker.Instance{Node: target.Name, ID: target.ID, Born: target.Born}
+	if result.instanceKnown {
+		instance.ID, instance.Born = result.instanceID, result.instanceBorn
+	}
+	leaving := result.statement.Leaving
+	if result.outcome == proxy.OutcomeRan {
+		// A gate of an older build does not repeat the statement of its upstream.
+		leaving = leaving || node.dialect.ResponseInfo(response).Statement.Leaving
+	}
+	node.picker.Observe(now, instance, result.statement.Limit, leaving)
+}
+
 // limitLogInterval is the interval of the log lines about a limited upstream.
 const limitLogInterval = time.Second
 
@@ -38,14 +65,84 @@
 	if after.Draining {
 		gate.limit.Drain()
 	}
+	outdated := limitsDiffer(gate.recordedLimit, limitAfter)
 	gate.lock.Unlock()
 	if after.Draining && !before.Draining {
 		gate.log.Info("upstream stated that it is leaving", "upstream", upstream.ID, "born", upstream.Born)
 		gate.node.publishRecord()
 	}
+	if outdated {
+		// The bookkeeping task publishes the record, so that many changes in a short
+		// time are published together.
+		gate.node.recordChanged.Store(true)
+	}
 	gate.logLimitChange(upstream, limitBefore, limitAfter)
 }
 
+// recordedLimit returns the rate limit in a record.
+func recordedLimit(upstream member.Upstream) lease.RateLimit {
+	if !upstream.Limited {
+		return lease.RateLimit{}
+	}
+	return lease.NewRateLimit(upstream.Limit)
+}
+
+// recordedLimitTolerance is the relative difference between the rate limit and the
+// published one up to which the record is not published again.
+const recordedLimitTolerance = 0.1
+
+// limitsDiffer reports whether other nodes need to hear of a rate limit, given the
+// one that they know.
+func limitsDiffer(known, limit lease.RateLimit) bool {
+	knownPerSecond, was := known.PerSecond()
+	perSecond, is := limit.PerSecond()
+	return was != is || math.Abs(perSecond-knownPerSecond) > recordedLimitTolerance*max(perSecond, knownPerSecond)
+}
+
+// adoptLimit applies the rate limit that an entry node has learnt from the upstream,
+// if this gate has not heard from the upstream since it started. The lock must be
+// held.
+func (gate *gate) adoptLimit(header *fasthttp.RequestHeader) {
+	id, born, ok := parseInstance(string(header.Peek(proxy.HeaderInstance)))
+	perSecond, err := strconv.ParseFloat(string(header.Peek(proxy.HeaderLimit)), 64)
+	if !ok || err != nil || !(perSecond >= 0) {
+		return
+	}
+	if gate.tracker.AdoptLimit(gate.node.now(), id, born, lease.NewRateLimit(perSecond)) {
+		gate.applyLimit()
+		gate.log.Info("rate limit of the upstream learnt from an entry node", "upstream", id, "born", born, "perSecond", perSecond)
+	}
+}
+
+// writeStatement tells the entry node what the upstream states about itself.
+func (gate *gate) writeStatement(header *fasthttp.ResponseHeader) {
+	gate.lock.Lock()
+	upstream, limit := gate.tracker.Last(), gate.rateLimit()
+	gate.lock.Unlock()
+	perSecond, limited := limit.PerSecond()
+	if limited {
+		header.Set(proxy.HeaderLimit, formatRate(perSecond))
+	}
+	if upstream.Draining {
+		header.Set(proxy.HeaderLeaving, "1")
+	}
+	if limited || upstream.Draining {
+		header.Set(proxy.HeaderInstance, formatInstance(upstream.ID, upstream.Born))
+	}
+}
+
+func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', -1, 64) }
+
+func formatInstance(id string, born int64) string { return strconv.FormatInt(born, 10) + "/" + id }
+
+// parseInstance reads the header HeaderInstance. It returns false if the text has
+// another form.
+func parseInstance(text string) (id string, born int64, ok bool) {
+	bornText, id, ok := strings.Cut(text, "/")
+	born, err := strconv.ParseInt(bornText, 10, 64)
+	return id, born, ok && err == nil
+}
+
 // rateLimit returns the rate limit of the upstream. The lock must be held.
 func (gate *gate) rateLimit() lease.RateLimit {
 	limit, _ := gate.tracker.RateLimit()
--- a/internal/node/statement_test.go
+++ b/internal/node/statement_test.go
@@ -11,10 +11,13 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/distr"
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
 // testClock is a clock that only the test moves.
@@ -38,6 +41,8 @@
 	lock    sync.Mutex
 	headers map[string]string
 	arrived []time.Time
+	// hold delays responses until it is closed; nil delays none.
+	hold <-chan struct{}
 }
 
 func startStatingUpstream(t *testing.T, clock *testClock) *statingUpstream {
@@ -56,14 +61,25 @@
 
 func (upstream *statingUpstream) handle(request *fasthttp.RequestCtx) {
 	upstream.lock.Lock()
-	defer upstream.lock.Unlock()
 	upstream.arrived = append(upstream.arrived, upstream.clock.now())
+	hold := upstream.hold
 	for name, value := range upstream.headers {
 		request.Response.Header.Set(name, value)
 	}
+	upstream.lock.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	request.SetBodyString("ok")
 }
 
+// holdUntil delays the responses to later calls until the channel is closed.
+func (upstream *statingUpstream) holdUntil(respond <-chan struct{}) {
+	upstream.lock.Lock()
+	defer upstream.lock.Unlock()
+	upstream.hold = respond
+}
+
 // state sets the headers of the following responses.
 func (upstream *statingUpstream) state(headers map[string]string) {
 	upstream.lock.Lock()
@@ -177,3 +193,109 @@
 		require.Equal(t, fasthttp.StatusOK, <-statuses)
 	}
 }
+
+// newForgetfulGate returns a node whose upstream has stated nothing since the start
+// of the node, as after a restart.
+func newForgetfulGate(t *testing.T) (*Node, *statingUpstream, *testClock) {
+	clock := newTestClock()
+	upstream := startStatingUpstream(t, clock)
+	node := newGateNode(t, clock, upstream.address)
+	upstream.state(map[string]string{proxy.HeaderLimit: "2"})
+	return node, upstream, clock
+}
+
+// callsAtOnce sends ten calls to the gate and returns how many reached the upstream
+// before it responded to any of them. Only what the gate knows by then can hold back
+// calls.
+func callsAtOnce(t *testing.T, node *Node, upstream *statingUpstream, headers map[string]string) int {
+	const calls = 10
+	before := upstream.calls()
+	respond := make(chan struct{})
+	upstream.holdUntil(respond)
+	ended := make(chan int, calls)
+	for range calls {
+		go func() { ended <- callGate(node, headers) }()
+	}
+	require.Eventually(t, func() bool { return len(ended)+upstream.calls()-before == calls }, 5*time.Second, time.Millisecond)
+	reached := upstream.calls() - before
+	close(respond)
+	for range calls {
+		<-ended
+	}
+	return reached
+}
+
+func TestLimitOutlastsARestartOfTheGate(t *testing.T) {
+	node, upstream, clock := newForgetfulGate(t)
+	require.Equal(t, fasthttp.StatusOK, callGate(node, nil))
+	record := node.gate.record()
+	restarted := newGateNode(t, clock, upstream.address)
+	restarted.incarnation = node.incarnation + 1
+	restarted.RestoreFormer(wire.FromRecord(record).Domain())
+	require.Equal(t, 1, callsAtOnce(t, restarted, upstream, nil))
+}
+
+func TestEntryTellsARestartedGateOfALimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		instance string
+		paced    bool
+	}{
+		"the same instance":         {"1/i-1", true},
+		"another instance":          {"1/i-2", false},
+		"the same ID, started anew": {"2/i-1", false},
+		"unreadable":                {"i-1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node, upstream, _ := newForgetfulGate(t)
+			calls := callsAtOnce(t, node, upstream, map[string]string{proxy.HeaderLimit: "2", proxy.HeaderInstance: c.instance})
+			require.Equal(t, map[bool]int{true: 1, false: 10}[c.paced], calls)
+		})
+	}
+}
+
+// TestAnEntryDoesNotOverruleTheUpstream has an entry node tell of a limit that the
+// upstream has ended since.
+func TestAnEntryDoesNotOverruleTheUpstream(t *testing.T) {
+	node, upstream, _ := newForgetfulGate(t)
+	upstream.state(nil)
+	require.Equal(t, fasthttp.StatusOK, callGate(node, nil))
+	require.Equal(t, 10, callsAtOnce(t, node, upstream, map[string]string{proxy.HeaderLimit: "2", proxy.HeaderInstance: "1/i-1"}))
+}
+
+// TestEntryRemembersThatAnInstanceIsLeaving passes on a response with the statement
+// of an upstream. The gate then restarts and believes an earlier notice. The entry
+// node must not send further calls to that instance, but must to the next one.
+func TestEntryRemembersThatAnInstanceIsLeaving(t *testing.T) {
+	clock := newTestClock()
+	upstream := startStatingUpstream(t, clock)
+	config := kindConfig(t)
+	entry, target := startNode(t, "n1", config), startNode(t, "n2", config)
+	target.AcceptNotice(completeNotice(lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: upstream.address}))
+	introduce(t, entry, target)
+	before := target.gate.record()
+	before.Name, before.Zone = "n2", "a"
+	upstream.state(map[string]string{proxy.HeaderLeaving: "1"})
+	require.Equal(t, fasthttp.StatusOK, send(t, entry, "GET", "/again/x"))
+	merge := func(record member.Record) {
+		entry.tree.Do(func(core *distr.Core, now time.Time) { core.Table().Merge(now, record) })
+		time.Sleep(4 * bookkeepingInterval)
+	}
+	target.gate.lock.Lock()
+	target.gate.tracker = lease.New()
+	target.gate.limit.Resume()
+	target.gate.lock.Unlock()
+	target.AcceptNotice(completeNotice(lease.Notice{ID: "i-1", Born: 1, Sequence: 2, Address: upstream.address}))
+	gone := before
+	gone.State, gone.Incarnation = member.StateIdle, before.Incarnation+1
+	merge(gone)
+	before.Incarnation += 2
+	merge(before)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, send(t, entry, "GET", "/again/x"))
+	require.Equal(t, 1, upstream.calls())
+
+	target.AcceptNotice(completeNotice(lease.Notice{ID: "i-1", Born: 2, Sequence: 1, Address: upstream.address}))
+	next := target.gate.record()
+	next.Name, next.Zone, next.Incarnation = "n2", "a", before.Incarnation+1
+	merge(next)
+	require.Equal(t, fasthttp.StatusOK, send(t, entry, "GET", "/again/x"))
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -15,6 +15,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/lease"
 )
 
 // Target is an upstream that calls can be sent to.
@@ -25,6 +27,13 @@
 	Gate    string
 	Service string
 	Version string
+	// ID and Born identify the start of the target; they are empty and zero for a
+	// target without an identity.
+	ID   string
+	Born int64
+	// Limit is the rate limit of the target. In a Choice, it is the one that this
+	// node last heard of.
+	Limit lease.RateLimit
 	// Slots is the number of calls that the target can run at once.
 	Slots int
 	// Suspect is true while another node has reported that it lost contact with
@@ -77,6 +86,8 @@
 // targetState holds the measurements and the ejection state of one target.
 type targetState struct {
 	target Target
+	// limit is the rate limit of the target according to the latest word of it.
+	limit lease.RateLimit
 	// latency is a moving average in seconds that follows increases faster than
 	// decreases.
 	latency    float64
@@ -103,11 +114,13 @@
 	states      map[string]*targetState
 	// statesByService holds the targets of each service, sorted by name.
 	statesByService map[string][]*targetState
+	// statements holds what instances stated in responses. It outlasts the targets.
+	statements map[Instance]statement
 }
 
 // New returns a picker for a node in the given zone.
 func New(zone string, random *rand.Rand) *Picker {
-	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, statesByService: map[string][]*targetState{}}
+	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, statesByService: map[string][]*targetState{}, statements: map[Instance]statement{}}
 }
 
 // SetLocalTarget sets the name of the target on this node. It is preferred
@@ -147,12 +160,15 @@
 	for _, target := range targets {
 		state, ok := picker.states[target.Name]
 		if !ok || state.target.Service != target.Service || state.target.Version != target.Version {
+			ok = false
 			state = &targetState{addedAt: now, latency: initialLatency.Seconds(), measuredAt: now}
 		}
+		state.limit = picker.limitOf(target, state, ok)
 		state.target = target
 		states[target.Name] = state
 	}
 	picker.states = states
+	picker.forgetStatements(now)
 	for _, name := range slices.SortedFunc(maps.Keys(states), strings.Compare) {
 		state := states[name]
 		picker.statesByService[state.target.Service] = append(picker.statesByService[state.target.Service], state)
@@ -204,7 +220,7 @@
 func (picker *Picker) Choose(now time.Time, criteria Criteria) (Choice, bool) {
 	var candidates []*targetState
 	for _, state := range picker.statesByService[criteria.Service] {
-		if criteria.matches(state) {
+		if criteria.matches(state) && !picker.statements[state.target.instance()].leaving {
 			candidates = append(candidates, state)
 		}
 	}
@@ -217,7 +233,9 @@
 	}
 	free := chosen.hasFreeSlot(now)
 	chosen.inFlight++
-	return Choice{Target: chosen.target, HasFreeSlot: free}, true
+	target := chosen.target
+	target.Limit = chosen.limit
+	return Choice{Target: target, HasFreeSlot: free}, true
 }
 
 // crossZonePenalty multiplies the cost of queueing in another zone, because
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -58,6 +58,10 @@
 	HeaderLimit = "Vp-Limit"
 	// HeaderLeaving is "1" on responses of an upstream that is about to stop.
 	HeaderLeaving = "Vp-Leaving"
+	// HeaderInstance identifies the instance of an upstream that HeaderLimit or
+	// HeaderLeaving is about, on messages between nodes: its start time in
+	// milliseconds since 1970, a slash and its ID.
+	HeaderInstance = "Vp-Instance"
 	// HeaderTarget names the target that responded.
 	HeaderTarget = "Vp-Target"
 )
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -111,14 +111,17 @@
 	ID               string `json:"d,omitempty"`
 	Born             int64  `json:"b,omitempty"`
 	UpstreamSequence uint64 `json:"h,omitempty"`
-	Draining         bool   `json:"w,omitempty"`
-	Gone             bool   `json:"x,omitempty"`
-	Root             bool   `json:"r,omitempty"`
+	// Limit is nil if the upstream has no rate limit. Older nodes ignore it and drop
+	// it from the records that they pass on.
+	Limit    *float64 `json:"m,omitempty"`
+	Draining bool     `json:"w,omitempty"`
+	Gone     bool     `json:"x,omitempty"`
+	Root     bool     `json:"r,omitempty"`
 }
 
 // FromRecord returns the encoded form of a membership record.
 func FromRecord(record member.Record) Record {
-	return Record{
+	encoded := Record{
 		Name:             record.Name,
 		Zone:             record.Zone,
 		Link:             record.Link,
@@ -136,11 +139,15 @@
 		Gone:             record.Upstream.Gone,
 		Root:             record.Root,
 	}
+	if record.Upstream.Limited {
+		encoded.Limit = &record.Upstream.Limit
+	}
+	return encoded
 }
 
 // Domain converts the membership record to the domain type.
 func (record Record) Domain() member.Record {
-	return member.Record{
+	domain := member.Record{
 		Name:        record.Name,
 		Zone:        record.Zone,
 		Link:        record.Link,
@@ -160,6 +167,10 @@
 		},
 		Root: record.Root,
 	}
+	if record.Limit != nil {
+		domain.Upstream.Limited, domain.Upstream.Limit = true, *record.Limit
+	}
+	return domain
 }
 
 // FromTreeMessage returns the encoded form of a message between nodes. It
