picker: the search for a call's target is code of its own

No change of behaviour. The order in which targets are tried, and when a call may queue, stood in the node and could not be played without a network.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillapulley/vanillapulley/internal/dedup"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -49,13 +50,8 @@
 	// errorResponse is the latest error response of an upstream. The caller
 	// gets it if no later try succeeds.
 	errorResponse *fasthttp.Response
-	// full lists the targets that refused the call for lack of a free slot, and
-	// unreachable those whose gates could not connect to the upstream. The call may
-	// be sent to them again if there is no other target. triedTargets lists all other
-	// targets that the call was sent to.
-	triedTargets []string
-	full         []string
-	unreachable  []string
+	// search is the search for a target.
+	search picker.Search
 	// tries counts the tries that are limited by the retry budget and the
 	// route's maximum, refusals the tries that are not.
 	tries    int
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -14,13 +13,9 @@
 	"github.com/vanillapulley/vanillapulley/internal/retry"
 )
 
-// maxFullGates is how many gates may refuse a call for lack of a free slot
-// before the call queues at a gate. maxRefusals is how many refusals end a call;
-// only refusals that allow a free retry count (see isFreeRetry).
-const (
-	maxFullGates = 2
-	maxRefusals  = 6
-)
+// maxRefusals is how many refusals end a call; only refusals that allow a free retry
+// count (see isFreeRetry).
+const maxRefusals = 6
 
 // serveCaller handles a caller's request: it picks a target, forwards the call
 // and responds once the whole response has arrived.
@@ -151,52 +146,28 @@
 	from.Reset()
 }
 
-// chooseTarget chooses a target with a free slot or, if there is none, the
-// target with the shortest expected queueing time. mayQueue is true in the
-// second case: the call may queue at that target.
+// chooseTarget chooses the next target for a call. mayQueue is true if the call may
+// queue there; see picker.Next.
 func (node *Node) chooseTarget(now time.Time, call *call) (choice picker.Choice, mayQueue, ok bool) {
 	load := node.gate.load()
 	node.lock.Lock()
 	defer node.lock.Unlock()
 	node.picker.SetLoad(now, node.settings.Name, load)
-	criteria := picker.Criteria{Service: call.service, Accepts: call.versionSet.matches, Excluded: slices.Concat(call.triedTargets, call.full, call.unreachable)}
-	if len(call.full) < maxFullGates {
-		choice, ok = node.picker.Choose(now, criteria)
-		if ok && choice.HasFreeSlot {
-			return choice, false, true
-		}
-		if ok {
-			// The choice is canceled, because nothing was sent to the target.
-			node.picker.Done(now, choice.Target.Name, picker.ResultCanceled, 0, nil)
-		}
-	}
-	criteria.Excluded, criteria.Queue = slices.Concat(call.triedTargets, call.unreachable), true
-	choice, ok = node.picker.Choose(now, criteria)
-	if !ok && len(call.unreachable) > 0 {
-		criteria.Excluded = call.triedTargets
-		choice, ok = node.picker.Choose(now, criteria)
-	}
-	if !ok && call.tries > 0 {
-		// The call has failed at every target. A service may have only one
-		// target, so the targets are tried again.
-		criteria.Excluded = nil
-		choice, ok = node.picker.Choose(now, criteria)
-	}
-	return choice, true, ok
+	criteria := picker.Criteria{Service: call.service, Accepts: call.versionSet.matches}
+	return node.picker.Next(now, &call.search, criteria, call.tries > 0)
 }
 
-// recordTarget records that a target was tried, had no free slot or was unreachable,
+// recordTarget records that a target was tried, had no capacity or was unreachable,
 // so that the next try prefers other targets.
 func (call *call) recordTarget(name string, result result) {
 	switch {
 	case result.full:
-		call.full = append(call.full, name)
-		return
+		call.search.AddFull(name)
 	case result.unreachable:
-		call.unreachable = append(call.unreachable, name)
-		return
+		call.search.AddUnreachable(name)
+	default:
+		call.search.AddTried(name)
 	}
-	call.triedTargets = append(call.triedTargets, name)
 }
 
 // shouldRetry decides whether there is another try and after which pause. A
--- a/internal/node/calllog.go
+++ b/internal/node/calllog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 
 	"github.com/vanillapulley/vanillapulley/internal/limit"
@@ -29,7 +28,7 @@
 	isNew := call.versionSet.rollout != nil && call.versionSet.isNew
 	node.callLog.Info("call", "id", call.id, "route", call.route.Name(), "service", call.service,
 		"outcome", string(last.outcome), "status", call.request.Response.StatusCode(), "reason", last.reason,
-		"tries", call.tries, "refusals", call.refusals, "failedAt", slices.Concat(call.triedTargets, call.unreachable), "fullAt", call.full,
+		"tries", call.tries, "refusals", call.refusals, "failedAt", call.search.Failed(), "fullAt", call.search.Full(),
 		"took", node.now().Sub(call.started).String(), "allowed", deadline.Sub(call.started).String(),
 		"retryAfter", call.retryAfter.String(), "callerLeft", callerLeft, "onNewVersion", isNew,
 		"config", call.config.Version(), "membership", node.membership.Load(), "usual", ordinary)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -148,8 +148,8 @@
 // Choice is the result of a target selection.
 type Choice struct {
 	Target Target
-	// HasFreeSlot is true if the target is expected to have a free slot.
-	HasFreeSlot bool
+	// HasCapacity is true if the target is expected to have a free slot.
+	HasCapacity bool
 }
 
 // SetTargets replaces the set of targets. It keeps the state of a target whose
@@ -231,11 +231,11 @@
 	if chosen == nil {
 		chosen = picker.pickOfTwo(now, picker.prefer(now, candidates))
 	}
-	free := chosen.hasFreeSlot(now)
+	free := chosen.hasCapacity(now)
 	chosen.inFlight++
 	target := chosen.target
 	target.Limit = chosen.limit
-	return Choice{Target: target, HasFreeSlot: free}, true
+	return Choice{Target: target, HasCapacity: free}, true
 }
 
 // crossZonePenalty multiplies the cost of queueing in another zone, because
@@ -281,8 +281,8 @@
 		func(state *targetState) bool { return !state.target.Suspect },
 		func(state *targetState) bool { return !now.Before(state.ejectedUntil) },
 		func(state *targetState) bool { return !now.Before(state.pausedUntil) },
-		func(state *targetState) bool { return state.hasFreeSlot(now) },
-		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasFreeSlot(now) },
+		func(state *targetState) bool { return state.hasCapacity(now) },
+		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasCapacity(now) },
 	}
 	for _, preferred := range preferences {
 		remaining := slices.DeleteFunc(slices.Clone(candidates), func(state *targetState) bool { return !preferred(state) })
@@ -306,10 +306,10 @@
 	return max(state.inFlight, int(math.Round(reported*float64(maxLoadAge-age)/float64(maxLoadAge))))
 }
 
-// hasFreeSlot reports whether the target is expected to have a free slot. A
+// hasCapacity reports whether the target is expected to have a free slot. A
 // wrong estimate costs one more hop, because the node of a full target refuses
 // the call.
-func (state *targetState) hasFreeSlot(now time.Time) bool {
+func (state *targetState) hasCapacity(now time.Time) bool {
 	return state.estimatedLoad(now) < state.target.Slots
 }
 
--- /dev/null
+++ b/internal/picker/search.go
@@ -0,0 +1,72 @@
+package picker
+
+import (
+	"slices"
+	"time"
+)
+
+// maxFullTargets is how many targets may refuse a call for lack of capacity before
+// the call queues at one.
+const maxFullTargets = 2
+
+// Search is the search for a target for one call. It holds the targets that did not
+// serve the call.
+type Search struct {
+	// full lists the targets that refused the call for lack of capacity, and
+	// unreachable those whose gates could not connect to the upstream. The call may
+	// be sent to them again if there is no other target. tried lists all other
+	// targets that the call was sent to.
+	tried       []string
+	full        []string
+	unreachable []string
+}
+
+// AddTried records that the call was sent to a target, which is not chosen again
+// unless there is no other target.
+func (search *Search) AddTried(name string) { search.tried = append(search.tried, name) }
+
+// AddFull records that a target refused the call for lack of capacity.
+func (search *Search) AddFull(name string) { search.full = append(search.full, name) }
+
+// AddUnreachable records that a target's gate could not connect to the upstream.
+func (search *Search) AddUnreachable(name string) {
+	search.unreachable = append(search.unreachable, name)
+}
+
+// Full returns the targets that refused the call for lack of capacity.
+func (search *Search) Full() []string { return search.full }
+
+// Failed returns the other targets that did not serve the call.
+func (search *Search) Failed() []string { return slices.Concat(search.tried, search.unreachable) }
+
+// Next chooses the next target for a call: one that is expected to have capacity or,
+// if there is none, the one with the shortest expected queueing time. mayQueue is
+// true in the second case: the call may queue at that target. If repeat is true, the
+// call may be sent again to targets that it was already sent to, if there are no
+// others. The criteria are those of the call, without exclusions.
+func (picker *Picker) Next(now time.Time, search *Search, criteria Criteria, repeat bool) (choice Choice, mayQueue, ok bool) {
+	if len(search.full) < maxFullTargets {
+		criteria.Excluded = slices.Concat(search.tried, search.full, search.unreachable)
+		choice, ok = picker.Choose(now, criteria)
+		if ok && choice.HasCapacity {
+			return choice, false, true
+		}
+		if ok {
+			// The choice is canceled, because nothing was sent to the target.
+			picker.Done(now, choice.Target.Name, ResultCanceled, 0, nil)
+		}
+	}
+	criteria.Queue = true
+	criteria.Excluded = slices.Concat(search.tried, search.unreachable)
+	choice, ok = picker.Choose(now, criteria)
+	if !ok && len(search.unreachable) > 0 {
+		criteria.Excluded = search.tried
+		choice, ok = picker.Choose(now, criteria)
+	}
+	if !ok && repeat {
+		// A service may have only one target, so the targets are tried again.
+		criteria.Excluded = nil
+		choice, ok = picker.Choose(now, criteria)
+	}
+	return choice, true, ok
+}
