picker: a target's capacity under its rate limit decides where calls go

By Little's law a limited target can run limit x mean service time calls at once; that takes the place of its slots wherever it is less: in whether a call is sent without queueing, in the cost of a choice and in the expected wait. The limit comes with records and, fresher, with each response.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -148,7 +148,7 @@
 // Choice is the result of a target selection.
 type Choice struct {
 	Target Target
-	// HasCapacity is true if the target is expected to have a free slot.
+	// HasCapacity is true if the target is expected to run the call at once.
 	HasCapacity bool
 }
 
@@ -254,7 +254,7 @@
 	var best *targetState
 	lowestCost := math.Inf(1)
 	for _, state := range candidates {
-		cost := state.meanServiceTime(now) * float64(state.estimatedLoad(now)+1) / float64(max(1, state.target.Slots))
+		cost := state.meanServiceTime(now) * float64(state.estimatedLoad(now)+1) / state.capacity(now)
 		if state.target.Zone != picker.zone {
 			cost *= crossZonePenalty
 		}
@@ -306,11 +306,24 @@
 	return max(state.inFlight, int(math.Round(reported*float64(maxLoadAge-age)/float64(maxLoadAge))))
 }
 
-// hasCapacity reports whether the target is expected to have a free slot. A
-// wrong estimate costs one more hop, because the node of a full target refuses
+// hasCapacity reports whether the target is expected to run one more call at once.
+// A wrong estimate costs one more hop, because the node of a full target refuses
 // the call.
 func (state *targetState) hasCapacity(now time.Time) bool {
-	return state.estimatedLoad(now) < state.target.Slots
+	return float64(state.estimatedLoad(now)) < state.capacity(now)
+}
+
+// minCapacity is the lowest capacity of a target, so that costs stay finite.
+const minCapacity = 0.01
+
+// capacity returns how many calls the target can run at once: its slots or, by
+// Little's law, its rate limit times its mean service time if that is less.
+func (state *targetState) capacity(now time.Time) float64 {
+	capacity := float64(max(1, state.target.Slots))
+	if perSecond, limited := state.limit.PerSecond(); limited {
+		capacity = min(capacity, max(minCapacity, perSecond*state.meanServiceTime(now)))
+	}
+	return capacity
 }
 
 // SetLoad records a load that was not received with a response from the target.
@@ -328,7 +341,7 @@
 // not wait for each other while slots are free, but some targets slow down as
 // their load rises, so the cost grows with the load.
 func (picker *Picker) cost(now time.Time, state *targetState) float64 {
-	cost := state.meanServiceTime(now) * (1 + float64(state.estimatedLoad(now))/float64(max(1, state.target.Slots)))
+	cost := state.meanServiceTime(now) * (1 + float64(state.estimatedLoad(now))/state.capacity(now))
 	if state.target.Name == picker.localTarget {
 		cost *= localDiscount
 	}
