--- a/internal/cmds/members.go
+++ b/internal/cmds/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -21,13 +22,26 @@
 }
 
 func memberRows(list wire.MemberList) []string {
-	rows := []string{"NAME\tZONE\tSTATE\tSERVICE\tVERSION\tSLOTS\tGATE"}
+	rows := []string{"NAME\tZONE\tSTATE\tSERVICE\tVERSION\tSLOTS\tGATE\tLIMIT"}
 	for _, member := range list.Members {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%s", member.Name, member.Zone, member.State, member.Service, member.Version, member.Slots, member.Gate))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s", member.Name, member.Zone, member.State, member.Service, member.Version, member.Slots, member.Gate, limitText(member)))
 	}
 	return rows
 }
 
+// limitText describes the rate limit of the upstream beside a node.
+func limitText(member wire.NodeMember) string {
+	text := "-"
+	if member.Limit != nil {
+		since := time.UnixMilli(member.LimitedSince).UTC().Format(time.RFC3339)
+		text = fmt.Sprintf("%g/s since %s, from the %s", *member.Limit, since, member.LimitSource)
+	}
+	if member.Draining {
+		text += ", draining"
+	}
+	return text
+}
+
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -161,6 +161,7 @@
 			&cli.IntFlag{Name: "slots", Value: 12, Usage: "how many calls it runs at once"},
 			&cli.IntFlag{Name: "fail", Usage: "how many of a thousand calls fail"},
 			&cli.DurationFlag{Name: "delay", Usage: "how long each call takes"},
+			&cli.FloatFlag{Name: "limit", Usage: "how many calls per second it says that it takes; 0 says nothing"},
 			&cli.DurationFlag{Name: "ttl", Value: 3 * time.Second, Usage: "how long an announcement holds"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -175,6 +176,8 @@
 				TTL:          c.Duration("ttl"),
 				Now:          time.Now,
 				Random:       newRandom(),
+
+				LimitPerSecond: c.Float("limit"),
 			}).Run(ctx)
 		},
 	}
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -378,16 +378,21 @@
 }
 
 func nodeMember(record member.Record) wire.NodeMember {
-	return wire.NodeMember{
-		Name:    record.Name,
-		Zone:    record.Zone,
-		State:   record.State.String(),
-		Service: record.Upstream.Service,
-		Version: record.Upstream.Version,
-		Slots:   record.Upstream.Slots,
-		Gate:    record.Gate,
-		Link:    record.Link,
+	encoded := wire.NodeMember{
+		Name:     record.Name,
+		Zone:     record.Zone,
+		State:    record.State.String(),
+		Service:  record.Upstream.Service,
+		Version:  record.Upstream.Version,
+		Slots:    record.Upstream.Slots,
+		Gate:     record.Gate,
+		Link:     record.Link,
+		Draining: record.Upstream.Draining,
+	}
+	if record.Upstream.Limited {
+		encoded.Limit, encoded.LimitedSince, encoded.LimitSource = &record.Upstream.Limit, record.Upstream.LimitedSince, record.Upstream.LimitSource
 	}
+	return encoded
 }
 
 // status returns the state of the control plane as known to this control VM.
--- a/internal/lease/statement.go
+++ b/internal/lease/statement.go
@@ -28,9 +28,23 @@
 	Leaving bool
 }
 
+// LimitSource tells how a node learnt of the rate limit of its upstream.
+type LimitSource string
+
+// The sources of a limit.
+const (
+	// LimitFromUpstream is a response of the upstream.
+	LimitFromUpstream LimitSource = "upstream"
+	// LimitFromRecord is the record that other nodes kept while the node restarted.
+	LimitFromRecord LimitSource = "record"
+	// LimitFromEntry is an entry node that passed on a response of the upstream.
+	LimitFromEntry LimitSource = "entry node"
+)
+
 // limitState is the rate limit of the current incarnation of the upstream.
 type limitState struct {
-	limit RateLimit
+	limit  RateLimit
+	source LimitSource
 	// since is the time from which a limit has been in force without a break.
 	since time.Time
 	// stated is the time at which a response last stated a limit.
@@ -40,17 +54,20 @@
 	heard bool
 }
 
-// RateLimit returns the limit in force and the time from which a limit has been
-// in force without a break.
-func (tracker *Tracker) RateLimit() (RateLimit, time.Time) {
-	return tracker.limit.limit, tracker.limit.since
+// RateLimit returns the limit in force.
+func (tracker *Tracker) RateLimit() RateLimit { return tracker.limit.limit }
+
+// LimitOrigin returns the time from which a limit has been in force without a break,
+// as far as this node knows, and how the node learnt of the limit in force.
+func (tracker *Tracker) LimitOrigin() (time.Time, LimitSource) {
+	return tracker.limit.since, tracker.limit.source
 }
 
 // AdoptLimit applies a limit that another node has learnt from a response of the
 // given incarnation, and reports whether the limit changed. It is meant for the time
 // after a restart of this node: once a response has been observed, the responses
 // alone count. Of two limits, the lower one is kept.
-func (tracker *Tracker) AdoptLimit(now time.Time, id string, born int64, limit RateLimit) bool {
+func (tracker *Tracker) AdoptLimit(now time.Time, id string, born int64, limit RateLimit, source LimitSource) bool {
 	state := &tracker.limit
 	if state.heard || !limit.limited || id == "" || !tracker.current.sameIncarnation(Notice{ID: id, Born: born}) {
 		return false
@@ -61,7 +78,7 @@
 	if !state.limit.limited {
 		state.since = now
 	}
-	state.limit = limit
+	state.limit, state.source = limit, source
 	return true
 }
 
@@ -101,6 +118,6 @@
 		state.since = now
 	}
 	changed := state.limit != statement.Limit
-	state.limit = statement.Limit
+	state.limit, state.source = statement.Limit, LimitFromUpstream
 	return changed
 }
--- a/internal/lease/statement_test.go
+++ b/internal/lease/statement_test.go
@@ -8,8 +8,7 @@
 )
 
 func limitOf(tracker *Tracker) float64 {
-	limit, _ := tracker.RateLimit()
-	if perSecond, limited := limit.PerSecond(); limited {
+	if perSecond, limited := tracker.RateLimit().PerSecond(); limited {
 		return perSecond
 	}
 	return -1
@@ -30,7 +29,7 @@
 	require.True(t, tracker.Observe(at(30), at(22), upstream, Statement{Limit: NewRateLimit(5)}), "a lower limit")
 	require.False(t, tracker.Observe(at(31), at(23), upstream, Statement{LimitUnreadable: true}), "no word that the limit ended")
 	require.EqualValues(t, 5, limitOf(tracker))
-	_, since := tracker.RateLimit()
+	since, _ := tracker.LimitOrigin()
 	require.Equal(t, at(20), since)
 	require.True(t, tracker.Observe(at(50), at(40), upstream, Statement{}))
 	require.EqualValues(t, -1, limitOf(tracker))
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -63,6 +63,11 @@
 	// is true.
 	Limited bool
 	Limit   float64
+	// LimitedSince is when the node first heard of a limit that has held without a
+	// break since then, in milliseconds since 1970 on its clock. LimitSource is how
+	// the node learnt of the present limit. Both are for operators only.
+	LimitedSince int64
+	LimitSource  string
 	// Draining is true when the target accepts no new calls, and Gone is true
 	// when it has left.
 	Draining bool
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -75,6 +75,10 @@
 	}
 	gate.recordedLimit = gate.rateLimit()
 	record.Upstream.Limit, record.Upstream.Limited = gate.recordedLimit.PerSecond()
+	if record.Upstream.Limited {
+		since, source := gate.tracker.LimitOrigin()
+		record.Upstream.LimitedSince, record.Upstream.LimitSource = since.UnixMilli(), string(source)
+	}
 	switch {
 	case gate.nodeLeaving:
 		record.State = member.StateLeaving
@@ -166,7 +170,7 @@
 		Service: upstream.Service, Version: upstream.Version, Slots: upstream.Slots,
 		Address: gate.node.settings.Upstream,
 	}, upstream.Gone, gate.node.noticeTTL)
-	gate.tracker.AdoptLimit(gate.node.now(), upstream.ID, upstream.Born, recordedLimit(upstream))
+	gate.tracker.AdoptLimit(gate.node.now(), upstream.ID, upstream.Born, recordedLimit(upstream), lease.LimitFromRecord)
 	notice, present := gate.tracker.Current()
 	if present {
 		gate.applyNotice(notice)
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -108,7 +108,7 @@
 	if !ok || err != nil || !(perSecond >= 0) {
 		return
 	}
-	if gate.tracker.AdoptLimit(gate.node.now(), id, born, lease.NewRateLimit(perSecond)) {
+	if gate.tracker.AdoptLimit(gate.node.now(), id, born, lease.NewRateLimit(perSecond), lease.LimitFromEntry) {
 		gate.applyLimit()
 		gate.log.Info("rate limit of the upstream learnt from an entry node", "upstream", id, "born", born, "perSecond", perSecond)
 	}
@@ -144,10 +144,7 @@
 }
 
 // rateLimit returns the rate limit of the upstream. The lock must be held.
-func (gate *gate) rateLimit() lease.RateLimit {
-	limit, _ := gate.tracker.RateLimit()
-	return limit
-}
+func (gate *gate) rateLimit() lease.RateLimit { return gate.tracker.RateLimit() }
 
 // logLimitChange logs that a rate limit began or ended.
 func (gate *gate) logLimitChange(upstream lease.Notice, before, after lease.RateLimit) {
@@ -206,8 +203,8 @@
 // logLimit writes a line about a limited upstream once per limitLogInterval.
 func (gate *gate) logLimit(now time.Time) {
 	gate.lock.Lock()
-	limit, since := gate.tracker.RateLimit()
-	perSecond, limited := limit.PerSecond()
+	perSecond, limited := gate.rateLimit().PerSecond()
+	since, source := gate.tracker.LimitOrigin()
 	entry := gate.limitLog
 	due := limited && now.Sub(entry.logged) >= limitLogInterval
 	if due || !limited {
@@ -219,7 +216,7 @@
 	upstream, inFlight, queued := gate.tracker.Last(), gate.limit.InFlight(), gate.limit.Queued()
 	gate.lock.Unlock()
 	if due && !entry.logged.IsZero() {
-		gate.log.Info("rate limit of the upstream", "upstream", upstream.ID, "perSecond", perSecond, "since", now.Sub(since).String(),
+		gate.log.Info("rate limit of the upstream", "upstream", upstream.ID, "perSecond", perSecond, "age", now.Sub(since).String(), "source", string(source),
 			"sent", entry.sent, "interval", now.Sub(entry.logged).String(), "inFlight", inFlight, "queued", queued)
 	}
 }
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -40,6 +40,9 @@
 	// are answered with status 500.
 	FailPermille int
 	Delay        time.Duration
+	// LimitPerSecond is the rate limit that the upstream states in its responses. It
+	// states none if the value is zero, and does not enforce it.
+	LimitPerSecond float64
 	// TTL is how long an announcement is valid, and the time limit of a shutdown.
 	TTL    time.Duration
 	Now    func() time.Time
@@ -178,6 +181,9 @@
 		upstream.runsByKey[key]++
 		upstream.lock.Unlock()
 	}
+	if limit := upstream.settings.LimitPerSecond; limit > 0 {
+		exchange.Response.Header.Set(proxy.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if !upstream.simulateWork(exchange) {
 		upstream.canceled.Add(1)
 		return
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -162,6 +162,15 @@
 	Slots   int    `json:"slots,omitempty"`
 	Gate    string `json:"gate"`
 	Link    string `json:"link"`
+	// Draining is true if the upstream accepts no new calls.
+	Draining bool `json:"draining,omitempty"`
+	// Limit is the rate limit of the upstream in calls per second, or nil if there is
+	// none. LimitedSince is when its node first heard of it, in milliseconds since
+	// 1970, and LimitSource is how the node learnt of it: from the "upstream", from
+	// the "record" that others kept, or from an "entry node".
+	Limit        *float64 `json:"limit,omitempty"`
+	LimitedSince int64    `json:"limitedSince,omitempty"`
+	LimitSource  string   `json:"limitSource,omitempty"`
 }
 
 // Announcement is the state that an upstream announces to the node next to it.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -111,12 +111,14 @@
 	ID               string `json:"d,omitempty"`
 	Born             int64  `json:"b,omitempty"`
 	UpstreamSequence uint64 `json:"h,omitempty"`
-	// Limit is nil if the upstream has no rate limit. Older nodes ignore it and drop
-	// it from the records that they pass on.
-	Limit    *float64 `json:"m,omitempty"`
-	Draining bool     `json:"w,omitempty"`
-	Gone     bool     `json:"x,omitempty"`
-	Root     bool     `json:"r,omitempty"`
+	// Limit is nil if the upstream has no rate limit. Older nodes ignore it, and the
+	// two fields after it, and drop them from the records that they pass on.
+	Limit        *float64 `json:"m,omitempty"`
+	LimitedSince int64    `json:"t,omitempty"`
+	LimitSource  string   `json:"o,omitempty"`
+	Draining     bool     `json:"w,omitempty"`
+	Gone         bool     `json:"x,omitempty"`
+	Root         bool     `json:"r,omitempty"`
 }
 
 // FromRecord returns the encoded form of a membership record.
@@ -140,7 +142,7 @@
 		Root:             record.Root,
 	}
 	if record.Upstream.Limited {
-		encoded.Limit = &record.Upstream.Limit
+		encoded.Limit, encoded.LimitedSince, encoded.LimitSource = &record.Upstream.Limit, record.Upstream.LimitedSince, record.Upstream.LimitSource
 	}
 	return encoded
 }
@@ -169,6 +171,7 @@
 	}
 	if record.Limit != nil {
 		domain.Upstream.Limited, domain.Upstream.Limit = true, *record.Limit
+		domain.Upstream.LimitedSince, domain.Upstream.LimitSource = record.LimitedSince, record.LimitSource
 	}
 	return domain
 }
