picker: long calls go to targets bound by their rate limit, short ones to the others

A node now keeps the mean service time of each route, from calls that did not wait for their target. Among targets with capacity, and before zones are compared, a route with longer calls than its service's mean prefers the ones that are bound by their limit, a route with shorter ones the others; the cost of queueing at the others is multiplied by the relative length. Without limits nothing changes.

Also: a statement of leaving counts while the upstream's notices are late (it was lost then; lease test).

Ruled out: latency as the measure of length, since it has the wait at limited targets in it and would turn the order around under load.

--- a/internal/lease/statement.go
+++ b/internal/lease/statement.go
@@ -93,7 +93,7 @@
 	if !upstream.sameIncarnation(tracker.current) {
 		return false
 	}
-	left := statement.Leaving && tracker.present && !tracker.current.Draining
+	left := statement.Leaving && !tracker.current.Draining
 	if left {
 		tracker.current.Draining = true
 	}
--- a/internal/lease/statement_test.go
+++ b/internal/lease/statement_test.go
@@ -65,4 +65,10 @@
 	tracker.Renew(now, notice("a", 11, 1), ttl)
 	current, _ = tracker.Current()
 	require.False(t, current.Draining)
+
+	tracker.MarkAbsent()
+	require.True(t, tracker.Observe(now, now, notice("a", 11, 1), Statement{Leaving: true}), "stated while its notices are late")
+	tracker.Renew(now, notice("a", 11, 2), ttl)
+	current, _ = tracker.Current()
+	require.True(t, current.Draining)
 }
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -81,6 +81,9 @@
 	node.lock.Lock()
 	node.picker.Done(node.now(), target.Name, result.pickerResult, latency, result.load)
 	node.observeTarget(node.now(), target, result, response)
+	if !mayQueue && result.outcome == proxy.OutcomeRan && result.pickerResult == picker.ResultSucceeded {
+		node.picker.RecordServiceTime(call.service, call.route.Name(), latency)
+	}
 	node.lock.Unlock()
 	if call.versionSet.rollout != nil {
 		node.guard.observe(*call.versionSet.rollout, target.Version, result, latency)
@@ -153,7 +156,7 @@
 	node.lock.Lock()
 	defer node.lock.Unlock()
 	node.picker.SetLoad(now, node.settings.Name, load)
-	criteria := picker.Criteria{Service: call.service, Accepts: call.versionSet.matches}
+	criteria := picker.Criteria{Service: call.service, Class: call.route.Name(), Accepts: call.versionSet.matches}
 	return node.picker.Next(now, &call.search, criteria, call.tries > 0)
 }
 
--- a/internal/picker/load_test.go
+++ b/internal/picker/load_test.go
@@ -166,7 +166,7 @@
 
 // next sends a call to the next target.
 func (run *loadRun) next(call *loadCall) {
-	choice, mayQueue, ok := run.pickers[call.entry].Next(run.now, &call.search, Criteria{Service: "s"}, false)
+	choice, mayQueue, ok := run.pickers[call.entry].Next(run.now, &call.search, Criteria{Service: "s", Class: run.Classes[call.class].Name}, false)
 	if !ok || call.tries >= loadMaxRefusals {
 		run.refused(call)
 		return
@@ -212,6 +212,9 @@
 	run.at(duration, func() {
 		run.limiters[target].Done(run.now, class.Priority, duration)
 		run.report(call, target, ResultSucceeded, sent)
+		if !mayQueue {
+			run.pickers[call.entry].RecordServiceTime("s", class.Name, duration)
+		}
 		run.count(call, func(outcome *loadOutcome) {
 			if run.now.Sub(call.arrived) <= milliseconds(class.ObjectiveMs) {
 				outcome.onTime++
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -116,11 +116,13 @@
 	statesByService map[string][]*targetState
 	// statements holds what instances stated in responses. It outlasts the targets.
 	statements map[Instance]statement
+	// serviceTimes holds the service times of each service.
+	serviceTimes map[string]*serviceTimes
 }
 
 // New returns a picker for a node in the given zone.
 func New(zone string, random *rand.Rand) *Picker {
-	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, statesByService: map[string][]*targetState{}, statements: map[Instance]statement{}}
+	return &Picker{zone: zone, random: random, states: map[string]*targetState{}, statesByService: map[string][]*targetState{}, statements: map[Instance]statement{}, serviceTimes: map[string]*serviceTimes{}}
 }
 
 // SetLocalTarget sets the name of the target on this node. It is preferred
@@ -136,6 +138,9 @@
 	// Excluded lists the names of targets that must not be chosen, because they
 	// have already been tried.
 	Excluded []string
+	// Class is the class of the call, for example its route. Classes differ in their
+	// service times; see relativeTime.
+	Class string
 	// Queue is true for a call that found no free slot and is to be queued. The
 	// target is then chosen by its expected wait; see shortestQueue.
 	Queue bool
@@ -229,7 +234,7 @@
 	}
 	chosen := picker.shortestQueue(now, criteria, candidates)
 	if chosen == nil {
-		chosen = picker.pickOfTwo(now, picker.prefer(now, candidates))
+		chosen = picker.pickOfTwo(now, picker.prefer(now, criteria, candidates))
 	}
 	free := chosen.hasCapacity(now)
 	chosen.inFlight++
@@ -253,11 +258,15 @@
 	}
 	var best *targetState
 	lowestCost := math.Inf(1)
+	relativeTime := picker.relativeTime(criteria)
 	for _, state := range candidates {
 		cost := state.meanServiceTime(now) * float64(state.estimatedLoad(now)+1) / state.capacity(now)
 		if state.target.Zone != picker.zone {
 			cost *= crossZonePenalty
 		}
+		if !state.isRateBound(now) {
+			cost *= relativeTime
+		}
 		if state.target.Suspect || now.Before(state.ejectedUntil) {
 			cost += lastResortPenalty
 		}
@@ -276,12 +285,14 @@
 // suspect, is not ejected, has not refused a call recently, has a free slot,
 // and is in the node's own zone with a free slot. A condition that no remaining
 // candidate meets is skipped.
-func (picker *Picker) prefer(now time.Time, candidates []*targetState) []*targetState {
+func (picker *Picker) prefer(now time.Time, criteria Criteria, candidates []*targetState) []*targetState {
+	isLong := picker.relativeTime(criteria) >= 1
 	preferences := []func(*targetState) bool{
 		func(state *targetState) bool { return !state.target.Suspect },
 		func(state *targetState) bool { return !now.Before(state.ejectedUntil) },
 		func(state *targetState) bool { return !now.Before(state.pausedUntil) },
 		func(state *targetState) bool { return state.hasCapacity(now) },
+		func(state *targetState) bool { return state.hasCapacity(now) && state.isRateBound(now) == isLong },
 		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasCapacity(now) },
 	}
 	for _, preferred := range preferences {
