soak: upstreams state rate limits while other faults strike

The limits have a source of random numbers of their own, so the other faults of a seed stay as they were.

Upstreams of the own interface have no ID; an entry node now tells a restarted gate of their limits, too. The first response of a next upstream corrects it.

Which responses count is a test: success and not-run yes, another upstream's and those without proof no; a refusal for a limit is neither held against the target nor the version.

--- a/internal/cmds/vpd.go
+++ b/internal/cmds/vpd.go
@@ -166,18 +166,17 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return sample.New(sample.Settings{
-				Service:      c.String("service"),
-				Version:      c.String("version"),
-				Address:      c.String("address"),
-				Admin:        c.String("admin"),
-				Slots:        c.Int("slots"),
-				FailPermille: c.Int("fail"),
-				Delay:        c.Duration("delay"),
-				TTL:          c.Duration("ttl"),
-				Now:          time.Now,
-				Random:       newRandom(),
-
-				LimitPerSecond: c.Float("limit"),
+				Service:        c.String("service"),
+				Version:        c.String("version"),
+				Address:        c.String("address"),
+				Admin:          c.String("admin"),
+				Slots:          c.Int("slots"),
+				FailPermille:   c.Int("fail"),
+				Delay:          c.Duration("delay"),
+				TTL:            c.Duration("ttl"),
+				Now:            time.Now,
+				Random:         newRandom(),
+				LimitPerSecond: func() float64 { return c.Float("limit") },
 			}).Run(ctx)
 		},
 	}
--- a/internal/lease/statement.go
+++ b/internal/lease/statement.go
@@ -69,7 +69,7 @@
 // alone count. Of two limits, the lower one is kept.
 func (tracker *Tracker) AdoptLimit(now time.Time, id string, born int64, limit RateLimit, source LimitSource) bool {
 	state := &tracker.limit
-	if state.heard || !limit.limited || id == "" || !tracker.current.sameIncarnation(Notice{ID: id, Born: born}) {
+	if state.heard || !limit.limited || !tracker.current.sameIncarnation(Notice{ID: id, Born: born}) {
 		return false
 	}
 	if state.limit.limited && state.limit.perSecond <= limit.perSecond {
--- a/internal/node/statement_test.go
+++ b/internal/node/statement_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/vanillapulley/vanillapulley/internal/distr"
 	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
 	"github.com/vanillapulley/vanillapulley/internal/member"
+	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
@@ -299,3 +301,43 @@
 	merge(next)
 	require.Equal(t, fasthttp.StatusOK, send(t, entry, "GET", "/again/x"))
 }
+
+// kindDialect is a dialect whose responses tell by a header what they are.
+type kindDialect struct{ defaultDialect }
+
+func (kindDialect) ResponseInfo(response *fasthttp.Response) ResponseInfo {
+	info := defaultDialect{}.ResponseInfo(response)
+	kind := string(response.Header.Peek("X-Kind"))
+	info.NotRun, info.WrongUpstream, info.Unverified = kind == "not run", kind == "wrong upstream", kind == "unverified"
+	return info
+}
+
+// TestWhichResponsesStateALimit has an upstream state a limit in responses of all
+// kinds. Only what is certainly its own word counts.
+func TestWhichResponsesStateALimit(t *testing.T) {
+	for kind, limited := range map[string]bool{"success": true, "not run": true, "wrong upstream": false, "unverified": false} {
+		t.Run(kind, func(t *testing.T) {
+			clock := newTestClock()
+			upstream := startStatingUpstream(t, clock)
+			node := newGateNode(t, clock, upstream.address)
+			node.dialect = kindDialect{}
+			upstream.state(map[string]string{proxy.HeaderLimit: "2", "X-Kind": kind})
+			callGate(node, nil)
+			require.Equal(t, map[bool]float64{true: 2, false: -1}[limited], node.gate.upstreamLimit())
+		})
+	}
+}
+
+// TestRateLimitIsNoFailure checks that a refusal for a rate limit is neither held
+// against the target nor against its version.
+func TestRateLimitIsNoFailure(t *testing.T) {
+	response := &fasthttp.Response{}
+	defaultDialect{}.LocalReply(response, LocalReply{Status: fasthttp.StatusServiceUnavailable, Outcome: proxy.OutcomeNotRun, Reason: string(limit.ReasonRate)})
+	result := (&Node{}).classify(context.Background(), nil, response)
+	require.True(t, result.full)
+	require.Equal(t, picker.ResultRefused, result.pickerResult)
+	for _, wholeService := range []bool{false, true} {
+		_, counts := classifyForGuard(result, wholeService)
+		require.False(t, counts)
+	}
+}
--- a/internal/picker/statement.go
+++ b/internal/picker/statement.go
@@ -29,16 +29,14 @@
 
 // Observe records what an instance stated in a response. An instance that is
 // leaving is never chosen again. An instance without an ID cannot be told apart from
-// the next one on its node, so only its rate limit is recorded.
+// the next one on its node. Of such an instance only the rate limit is recorded,
+// because the first response of the next one corrects it.
 func (picker *Picker) Observe(now time.Time, instance Instance, limit lease.RateLimit, leaving bool) {
 	if state, ok := picker.states[instance.Node]; ok && state.target.instance() == instance {
 		state.limit = limit
 	}
-	if instance.ID == "" {
-		return
-	}
 	known := picker.statements[instance]
-	leaving = leaving || known.leaving
+	leaving = instance.ID != "" && (leaving || known.leaving)
 	if _, limited := limit.PerSecond(); !limited && !leaving {
 		delete(picker.statements, instance)
 		return
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -40,9 +40,10 @@
 	// are answered with status 500.
 	FailPermille int
 	Delay        time.Duration
-	// LimitPerSecond is the rate limit that the upstream states in its responses. It
-	// states none if the value is zero, and does not enforce it.
-	LimitPerSecond float64
+	// LimitPerSecond returns the rate limit that the upstream states in its responses
+	// but does not enforce. It states none if the value is zero or the function is
+	// nil.
+	LimitPerSecond func() float64
 	// TTL is how long an announcement is valid, and the time limit of a shutdown.
 	TTL    time.Duration
 	Now    func() time.Time
@@ -181,13 +182,11 @@
 		upstream.runsByKey[key]++
 		upstream.lock.Unlock()
 	}
-	if limit := upstream.settings.LimitPerSecond; limit > 0 {
-		exchange.Response.Header.Set(proxy.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
-	}
 	if !upstream.simulateWork(exchange) {
 		upstream.canceled.Add(1)
 		return
 	}
+	upstream.stateLimit(exchange)
 	if upstream.drawFailure() {
 		exchange.SetStatusCode(fasthttp.StatusInternalServerError)
 		exchange.SetBodyString("the upstream failed\n")
@@ -196,6 +195,15 @@
 	exchange.SetBodyString(fmt.Sprintf("%s %s %s %s\n", upstream.settings.Service, upstream.settings.Version, exchange.Method(), exchange.Path()))
 }
 
+func (upstream *Upstream) stateLimit(exchange *fasthttp.RequestCtx) {
+	if upstream.settings.LimitPerSecond == nil {
+		return
+	}
+	if limit := upstream.settings.LimitPerSecond(); limit > 0 {
+		exchange.Response.Header.Set(proxy.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+}
+
 func (upstream *Upstream) drawFailure() bool {
 	upstream.lock.Lock()
 	defer upstream.lock.Unlock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -209,6 +209,7 @@
 	// replacements receives the downtime of each replacement.
 	replacements chan time.Duration
 	history      *history
+	limitCheck   limitCheck
 }
 
 func newUpstream(admin, address, announced string, seed uint64) *upstream {
@@ -225,7 +226,9 @@
 func (upstream *upstream) run(ctx context.Context) error {
 	upstream.settings.OnCall = func(exchange *fasthttp.RequestCtx) {
 		upstream.history.recordRun(string(exchange.Path()))
+		upstream.limitCheck.recordArrival(upstream.history)
 	}
+	upstream.settings.LimitPerSecond = upstream.limitCheck.limit
 	for ctx.Err() == nil {
 		runCtx, cancelRun := context.WithCancel(ctx)
 		ended := make(chan error, 1)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,8 @@
 	faultReplace kind = "replace"
 	// faultEndless replaces the responses of an upstream by bodies without end.
 	faultEndless kind = "endless"
+	// faultLimit makes an upstream state a rate limit.
+	faultLimit kind = "limit"
 )
 
 // fault is one planned fault.
@@ -48,6 +50,8 @@
 	// duration is how long the fault lasts. For a stopped process it is the time
 	// until the restart. A reset ignores it.
 	duration time.Duration
+	// perSecond is the rate limit of faultLimit in calls per second.
+	perSecond float64
 }
 
 func (fault fault) String() string {
@@ -114,6 +118,34 @@
 			}
 		}
 	}
+	faults = append(faults, planLimits(seed, subjects[faultReplace], period)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
+
+// Bounds of the planned rate limits. With them, an upstream states a limit that is
+// below its share of the load for long enough to check it.
+const (
+	maxLimits        = 2
+	minLimit         = 1.0
+	maxLimit         = 15.0
+	minLimitDuration = 2 * limitGrace
+	maxLimitDuration = 4 * limitGrace
+)
+
+// planLimits draws rate limits of upstreams from a source of random numbers of its
+// own, so that the other faults of a seed stay the same.
+func planLimits(seed uint64, upstreams []string, period time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	var limits []fault
+	for range 1 + random.IntN(maxLimits) {
+		limits = append(limits, fault{
+			at:        time.Duration(random.Int64N(int64(period))),
+			kind:      faultLimit,
+			subject:   upstreams[random.IntN(len(upstreams))],
+			duration:  minLimitDuration + time.Duration(random.Int64N(int64(maxLimitDuration-minLimitDuration))),
+			perSecond: minLimit + random.Float64()*(maxLimit-minLimit),
+		})
+	}
+	return limits
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -209,6 +209,11 @@
 		time.Sleep(fault.duration)
 		forwarder.endless.Store(false)
 		process.checkMemory(history)
+	case faultLimit:
+		check := &fleet.upstreams[fault.subject].limitCheck
+		check.state(fault.perSecond)
+		time.Sleep(fault.duration)
+		check.state(0)
 	case faultReplace:
 		fleet.upstreams[fault.subject].replacements <- fault.duration
 		time.Sleep(fault.duration)
