picker: calls are steered by length only while slots are scarce

A target that states a limit is in need, and the way to another zone costs bytes and time; below half of the slots in use nothing is gained by sending long calls there.

--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -312,9 +312,10 @@
 	return ticket
 }
 
-// acquireSlot waits for a slot and for the rate limit of the upstream. If it returns no refusal, the caller has a slot
-// and must call releaseSlot or returnUnusedSlot. The reason "wrong version"
-// also covers a missing upstream and an upstream of another service.
+// acquireSlot waits for a slot and for the rate limit of the upstream. If it returns
+// no refusal, the caller has a slot and must call releaseSlot or returnUnusedSlot.
+// The reason "wrong version" also covers a missing upstream and an upstream of
+// another service.
 func (gate *gate) acquireSlot(ctx context.Context, request *fasthttp.Request) (lease.Notice, *refusal) {
 	service, version := string(request.Header.Peek(proxy.HeaderService)), string(request.Header.Peek(proxy.HeaderVersion))
 	decided := make(chan limit.Reason, 1)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -286,13 +286,15 @@
 // and is in the node's own zone with a free slot. A condition that no remaining
 // candidate meets is skipped.
 func (picker *Picker) prefer(now time.Time, criteria Criteria, candidates []*targetState) []*targetState {
-	isLong := picker.relativeTime(criteria) >= 1
+	isLong, slotsAreScarce := picker.relativeTime(criteria) >= 1, areSlotsScarce(now, candidates)
 	preferences := []func(*targetState) bool{
 		func(state *targetState) bool { return !state.target.Suspect },
 		func(state *targetState) bool { return !now.Before(state.ejectedUntil) },
 		func(state *targetState) bool { return !now.Before(state.pausedUntil) },
 		func(state *targetState) bool { return state.hasCapacity(now) },
-		func(state *targetState) bool { return state.hasCapacity(now) && state.isRateBound(now) == isLong },
+		func(state *targetState) bool {
+			return slotsAreScarce && state.hasCapacity(now) && state.isRateBound(now) == isLong
+		},
 		func(state *targetState) bool { return state.target.Zone == picker.zone && state.hasCapacity(now) },
 	}
 	for _, preferred := range preferences {
--- a/internal/picker/servicetime.go
+++ b/internal/picker/servicetime.go
@@ -51,6 +51,23 @@
 	return times.byClass[criteria.Class] / times.mean
 }
 
+// scarceSlotsPercent is the load in percent from which on the slots of the targets
+// without a rate limit are kept for the calls that suit them.
+const scarceSlotsPercent = 50
+
+// areSlotsScarce reports whether the targets that are not bound by a rate limit use
+// at least scarceSlotsPercent of their slots.
+func areSlotsScarce(now time.Time, candidates []*targetState) bool {
+	load, slots := 0, 0
+	for _, state := range candidates {
+		if !state.isRateBound(now) {
+			load += state.estimatedLoad(now)
+			slots += state.target.Slots
+		}
+	}
+	return 100*load >= scarceSlotsPercent*slots
+}
+
 // isRateBound reports whether the rate limit of the target, not its slots, limits
 // how many calls it runs.
 func (state *targetState) isRateBound(now time.Time) bool {
