--- a/internal/picker/load_test.go
+++ b/internal/picker/load_test.go
@@ -66,10 +66,6 @@
 	return float64(outcome.onTime+outcome.late) / float64(outcome.offered)
 }
 
-func (outcome loadOutcome) onTimeShare() float64 {
-	return float64(outcome.onTime) / float64(outcome.offered)
-}
-
 // loadRun plays one load. Entry nodes search for targets as the daemon does, and
 // each target has the admission control of its gate. Messages take no time.
 type loadRun struct {
@@ -174,8 +170,7 @@
 	var target int
 	_, _ = fmt.Sscanf(choice.Target.Name, "t%d", &target)
 	class, sent := run.Classes[call.class], run.now
-	var ticket *limit.Ticket
-	ticket = limit.NewTicket("none", call.arrived.Add(milliseconds(class.DeadlineMs)), func(reason limit.Reason) {
+	ticket := limit.NewTicket("none", call.arrived.Add(milliseconds(class.DeadlineMs)), func(reason limit.Reason) {
 		run.decided(call, target, mayQueue, sent, reason)
 	})
 	ticket.SetPriority(class.Priority)
