node: a statement of leaving counts for the instance that responded

Found by reading: if the gate had another upstream by the time that a response of the one before arrived, and that other one was limited or leaving, the entry node would have taken the statement in the response for a word of the new instance and never chosen it, and would have gone on to choose the old one. The test fails with the statement attributed to the gate's present upstream.

--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -14,7 +14,6 @@
 
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/limit"
-	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
@@ -52,56 +51,12 @@
 	}
 }
 
-// record returns the membership record of this node and its upstream.
-func (gate *gate) record() member.Record {
-	gate.lock.Lock()
-	defer gate.lock.Unlock()
-	last := gate.tracker.Last()
-	_, present := gate.tracker.Current()
-	record := member.Record{
-		Gate:        gate.node.settings.Gate,
-		Incarnation: gate.node.incarnation,
-		State:       member.StateIdle,
-		Upstream: member.Upstream{
-			Service:  last.Service,
-			Version:  last.Version,
-			Slots:    last.Slots,
-			ID:       last.ID,
-			Born:     last.Born,
-			Sequence: last.Sequence,
-			Draining: last.Draining,
-			Gone:     gate.tracker.Deregistered(),
-		},
-	}
-	gate.recordedLimit = gate.rateLimit()
-	record.Upstream.Limit, record.Upstream.Limited = gate.recordedLimit.PerSecond()
-	if record.Upstream.Limited {
-		since, source := gate.tracker.LimitOrigin()
-		record.Upstream.LimitedSince, record.Upstream.LimitSource = since.UnixMilli(), string(source)
-	}
-	switch {
-	case gate.nodeLeaving:
-		record.State = member.StateLeaving
-	case present && !last.Draining:
-		record.State = member.StateServing
-	}
-	return record
-}
-
 func (gate *gate) load() picker.Load {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	return picker.Load{InFlight: gate.limit.InFlight(), Queued: gate.limit.Queued(), ServiceTime: gate.limit.ServiceTime()}
 }
 
-// hasNoUpstream reports whether the node has no upstream at present.
-func (gate *gate) hasNoUpstream() bool {
-	gate.lock.Lock()
-	defer gate.lock.Unlock()
-	_, present := gate.tracker.Current()
-	return !present
-}
-
 // drain makes the gate refuse all new calls from now on.
 func (gate *gate) drain() {
 	gate.lock.Lock()
@@ -110,124 +65,6 @@
 	gate.limit.Drain()
 }
 
-// accept applies an upstream's notice. It returns false if the notice is stale.
-// If the notice changes anything that other nodes need to know, the node's
-// record is published. Once accept has applied a notice that the upstream is
-// draining, no further call reaches that upstream.
-func (gate *gate) accept(notice lease.Notice, ttl time.Duration) bool {
-	gate.lock.Lock()
-	old, present := gate.tracker.Current()
-	if !gate.tracker.Renew(gate.node.now(), notice, ttl) {
-		gate.lock.Unlock()
-		return false
-	}
-	notice, _ = gate.tracker.Current()
-	changed := !present || !sameUpstream(old, notice)
-	if changed {
-		gate.applyNotice(notice)
-	}
-	gate.lock.Unlock()
-	if changed {
-		gate.log.Info("upstream announced", "upstream", notice.ID, "service", notice.Service, "version", notice.Version,
-			"slots", notice.Slots, "born", notice.Born, "sequence", notice.Sequence, "draining", notice.Draining)
-		gate.node.publishRecord()
-	}
-	return true
-}
-
-// sameUpstream reports whether two notices are the same in everything that
-// other nodes need to know.
-func sameUpstream(old, notice lease.Notice) bool {
-	notice.Sequence, notice.Cold = old.Sequence, old.Cold
-	return old == notice
-}
-
-// applyNotice updates the admission limits to the current notice. The lock must
-// be held.
-func (gate *gate) applyNotice(notice lease.Notice) {
-	gate.failedConnects = 0
-	gate.limit.SetSlots(gate.node.now(), notice.Slots)
-	gate.applyLimit()
-	if notice.Draining || gate.nodeLeaving {
-		gate.limit.Drain()
-		return
-	}
-	gate.limit.Resume()
-}
-
-// restoreUpstream restores the state of the upstream that this node announced
-// before a restart.
-func (gate *gate) restoreUpstream(previous member.Record) {
-	upstream := previous.Upstream
-	// Incarnations are compared for equality only. They are start times, so if
-	// the clock was set back, the previous run has the higher one.
-	if previous.Incarnation == gate.node.incarnation || upstream.ID == "" {
-		return
-	}
-	gate.lock.Lock()
-	gate.tracker.Restore(gate.node.now(), lease.Notice{
-		ID: upstream.ID, Born: upstream.Born, Sequence: upstream.Sequence, Draining: upstream.Draining,
-		Service: upstream.Service, Version: upstream.Version, Slots: upstream.Slots,
-		Address: gate.node.settings.Upstream,
-	}, upstream.Gone, gate.node.noticeTTL)
-	gate.tracker.AdoptLimit(gate.node.now(), upstream.ID, upstream.Born, recordedLimit(upstream), lease.LimitFromRecord)
-	notice, present := gate.tracker.Current()
-	if present {
-		gate.applyNotice(notice)
-	} else {
-		gate.limit.Drain()
-	}
-	gate.lock.Unlock()
-	gate.log.Info("upstream restored from other nodes", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
-		"draining", upstream.Draining, "gone", upstream.Gone, "limited", upstream.Limited, "perSecond", upstream.Limit)
-	// This runs under the tree's lock, so the record is published later, by the
-	// bookkeeping task.
-	gate.node.recordChanged.Store(true)
-}
-
-// withdraw marks the upstream as absent until its next notice. It gets no new
-// calls until then.
-func (gate *gate) withdraw(reason string) {
-	gate.lock.Lock()
-	notice, present := gate.tracker.Current()
-	gate.tracker.MarkAbsent()
-	gate.limit.Drain()
-	gate.lock.Unlock()
-	if present {
-		gate.log.Info("upstream withdrawn", "upstream", notice.ID, "reason", reason)
-		gate.node.publishRecord()
-	}
-}
-
-// deregister marks an instance of an upstream as permanently gone. If born is
-// zero, this is the latest known instance, otherwise the one that was started at
-// that time. After deregister returns, no further call reaches the instance.
-func (gate *gate) deregister(id string, born int64) {
-	gate.lock.Lock()
-	present := gate.tracker.Deregister(gate.node.now(), id, born)
-	if present {
-		gate.limit.Drain()
-	}
-	gate.lock.Unlock()
-	gate.log.Info("upstream deregistered", "upstream", id, "born", born, "present", present)
-	if present {
-		gate.node.publishRecord()
-	}
-}
-
-// expire withdraws the upstream if its lease has expired, and refuses queued
-// calls that can no longer finish in time.
-func (gate *gate) expire() {
-	now := gate.node.now()
-	gate.lock.Lock()
-	expired := gate.tracker.Expired(now)
-	gate.limit.Expire(now)
-	gate.lock.Unlock()
-	if expired {
-		gate.withdraw("its announcement expired")
-	}
-}
-
 // refusal is the reason why a call did not run.
 type refusal struct {
 	status int
--- /dev/null
+++ b/internal/node/limitlog.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"time"
+
+	"github.com/vanillapulley/vanillapulley/internal/lease"
+)
+
+// limitLogInterval is the interval of the log lines about a limited upstream.
+const limitLogInterval = time.Second
+
+// limitLog counts what the gate does between two log lines about a limited
+// upstream. The gate's lock guards it.
+type limitLog struct {
+	// logged is the time of the latest line; zero if the upstream is not limited.
+	logged time.Time
+	// sent counts the calls that were sent to the upstream.
+	sent int
+}
+
+// logLimitChange logs that a rate limit began or ended.
+func (gate *gate) logLimitChange(upstream lease.Notice, before, after lease.RateLimit) {
+	_, was := before.PerSecond()
+	perSecond, is := after.PerSecond()
+	if was != is {
+		gate.log.Info("rate limit of the upstream began or ended", "upstream", upstream.ID, "born", upstream.Born, "limited", is, "perSecond", perSecond)
+	}
+}
+
+// logLimit writes a line about a limited upstream once per limitLogInterval.
+func (gate *gate) logLimit(now time.Time) {
+	gate.lock.Lock()
+	perSecond, limited := gate.rateLimit().PerSecond()
+	since, source := gate.tracker.LimitOrigin()
+	entry := gate.limitLog
+	due := limited && now.Sub(entry.logged) >= limitLogInterval
+	if due || !limited {
+		gate.limitLog = limitLog{}
+	}
+	if due {
+		gate.limitLog.logged = now
+	}
+	upstream, inFlight, queued := gate.tracker.Last(), gate.limit.InFlight(), gate.limit.Queued()
+	gate.lock.Unlock()
+	if due && !entry.logged.IsZero() {
+		gate.log.Info("rate limit of the upstream", "upstream", upstream.ID, "perSecond", perSecond, "age", now.Sub(since).String(), "source", string(source),
+			"sent", entry.sent, "interval", now.Sub(entry.logged).String(), "inFlight", inFlight, "queued", queued)
+	}
+}
+
+// countSent counts a call that is sent to the upstream.
+func (gate *gate) countSent() {
+	gate.node.stats.Count("vp_upstream_calls_total", 1)
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	gate.limitLog.sent++
+}
+
+// upstreamLimit returns the rate limit of the upstream in calls per second, or -1
+// if it has none.
+func (gate *gate) upstreamLimit() float64 {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	if perSecond, limited := gate.rateLimit().PerSecond(); limited {
+		return perSecond
+	}
+	return -1
+}
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"math"
 	"strconv"
 	"strings"
@@ -22,28 +21,17 @@
 		// The response does not come from the target's gate.
 		return
 	}
-	instance := picker.Instance{Node: target.Name, ID: target.ID, Born: target.Born}
+	chosen := picker.Instance{Node: target.Name, ID: target.ID, Born: target.Born}
+	stated := chosen
 	if result.instanceKnown {
-		instance.ID, instance.Born = result.instanceID, result.instanceBorn
+		stated.ID, stated.Born = result.instanceID, result.instanceBorn
 	}
-	leaving := result.statement.Leaving
-	if result.outcome == proxy.OutcomeRan {
-		// A gate of an older build does not repeat the statement of its upstream.
-		leaving = leaving || node.dialect.ResponseInfo(response).Statement.Leaving
+	node.picker.Observe(now, stated, result.statement.Limit, result.statement.Leaving)
+	if result.outcome == proxy.OutcomeRan && !result.statement.Leaving && node.dialect.ResponseInfo(response).Statement.Leaving {
+		// The gate is of an older build and does not repeat the statement, or it has
+		// another upstream by now.
+		node.picker.Observe(now, chosen, lease.RateLimit{}, true)
 	}
-	node.picker.Observe(now, instance, result.statement.Limit, leaving)
-}
-
-// limitLogInterval is the interval of the log lines about a limited upstream.
-const limitLogInterval = time.Second
-
-// limitLog counts what the gate does between two log lines about a limited
-// upstream. The gate's lock guards it.
-type limitLog struct {
-	// logged is the time of the latest line; zero if the upstream is not limited.
-	logged time.Time
-	// sent counts the calls that were sent to the upstream.
-	sent int
 }
 
 // observe applies what the upstream stated about itself in a genuine response to a
@@ -145,97 +133,3 @@
 
 // rateLimit returns the rate limit of the upstream. The lock must be held.
 func (gate *gate) rateLimit() lease.RateLimit { return gate.tracker.RateLimit() }
-
-// logLimitChange logs that a rate limit began or ended.
-func (gate *gate) logLimitChange(upstream lease.Notice, before, after lease.RateLimit) {
-	_, was := before.PerSecond()
-	perSecond, is := after.PerSecond()
-	if was != is {
-		gate.log.Info("rate limit of the upstream began or ended", "upstream", upstream.ID, "born", upstream.Born, "limited", is, "perSecond", perSecond)
-	}
-}
-
-// applyLimit sets the rate at which calls are admitted to that of the upstream. The
-// lock must be held.
-func (gate *gate) applyLimit() {
-	if perSecond, limited := gate.rateLimit().PerSecond(); limited {
-		gate.limit.SetRate(gate.node.now(), perSecond)
-	} else {
-		gate.limit.ClearRate(gate.node.now())
-	}
-}
-
-// wakePacing makes runPacing look for the next call that waits for the rate limit.
-// The lock must be held.
-func (gate *gate) wakePacing() {
-	if _, waiting := gate.limit.NextAdmission(gate.node.now()); !waiting {
-		return
-	}
-	select {
-	case gate.pacing <- struct{}{}:
-	default:
-	}
-}
-
-// runPacing admits the calls that wait for the rate limit when their turn comes,
-// until the context ends.
-func (gate *gate) runPacing(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-gate.pacing:
-		case <-timer.C:
-		}
-		now := gate.node.now()
-		gate.lock.Lock()
-		gate.limit.Admit(now)
-		delay, waiting := gate.limit.NextAdmission(now)
-		gate.lock.Unlock()
-		if waiting {
-			timer.Reset(delay)
-		}
-	}
-}
-
-// logLimit writes a line about a limited upstream once per limitLogInterval.
-func (gate *gate) logLimit(now time.Time) {
-	gate.lock.Lock()
-	perSecond, limited := gate.rateLimit().PerSecond()
-	since, source := gate.tracker.LimitOrigin()
-	entry := gate.limitLog
-	due := limited && now.Sub(entry.logged) >= limitLogInterval
-	if due || !limited {
-		gate.limitLog = limitLog{}
-	}
-	if due {
-		gate.limitLog.logged = now
-	}
-	upstream, inFlight, queued := gate.tracker.Last(), gate.limit.InFlight(), gate.limit.Queued()
-	gate.lock.Unlock()
-	if due && !entry.logged.IsZero() {
-		gate.log.Info("rate limit of the upstream", "upstream", upstream.ID, "perSecond", perSecond, "age", now.Sub(since).String(), "source", string(source),
-			"sent", entry.sent, "interval", now.Sub(entry.logged).String(), "inFlight", inFlight, "queued", queued)
-	}
-}
-
-// countSent counts a call that is sent to the upstream.
-func (gate *gate) countSent() {
-	gate.node.stats.Count("vp_upstream_calls_total", 1)
-	gate.lock.Lock()
-	defer gate.lock.Unlock()
-	gate.limitLog.sent++
-}
-
-// upstreamLimit returns the rate limit of the upstream in calls per second, or -1
-// if it has none.
-func (gate *gate) upstreamLimit() float64 {
-	gate.lock.Lock()
-	defer gate.lock.Unlock()
-	if perSecond, limited := gate.rateLimit().PerSecond(); limited {
-		return perSecond
-	}
-	return -1
-}
--- a/internal/node/statement_test.go
+++ b/internal/node/statement_test.go
@@ -308,6 +308,7 @@
 func (kindDialect) ResponseInfo(response *fasthttp.Response) ResponseInfo {
 	info := defaultDialect{}.ResponseInfo(response)
 	kind := string(response.Header.Peek("X-Kind"))
+	info.Statement.Leaving = info.Statement.Leaving || kind == "leaving"
 	info.NotRun, info.WrongUpstream, info.Unverified = kind == "not run", kind == "wrong upstream", kind == "unverified"
 	return info
 }
@@ -341,3 +342,22 @@
 		require.False(t, counts)
 	}
 }
+
+// TestLeavingIsTheWordOfTheInstanceThatResponded has the gate get another upstream
+// while a response of the one before, which is leaving, is on its way.
+func TestLeavingIsTheWordOfTheInstanceThatResponded(t *testing.T) {
+	node, err := New(Deps{Settings: nodeSettings(t, "n1"), Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random, Dialect: kindDialect{}})
+	require.NoError(t, err)
+	first := picker.Target{Name: "n2", Service: "s", Version: "v1", Slots: 12, ID: "i-1", Born: 1}
+	response := &fasthttp.Response{}
+	response.Header.Set("X-Kind", "leaving")
+	ran := result{outcome: proxy.OutcomeRan, load: &picker.Load{}, instanceKnown: true, instanceID: "i-2", instanceBorn: 2, statement: lease.Statement{Limit: lease.NewRateLimit(5)}}
+	node.observeTarget(time.Now(), first, ran, response)
+	second := first
+	second.ID, second.Born = "i-2", 2
+	for target, isChosen := range map[picker.Target]bool{first: false, second: true} {
+		node.picker.SetTargets(time.Now(), []picker.Target{target})
+		_, ok := node.picker.Choose(time.Now(), picker.Criteria{Service: "s"})
+		require.Equal(t, isChosen, ok, target.ID)
+	}
+}
