--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease tracks the upstream on a node: which of several notices is the
-// latest, whether the upstream accepts new work, and when its lease has
-// expired.
+// latest, whether the upstream accepts new work, when its lease has expired, and
+// which rate limit it states in its responses.
 //
 // The package uses no clock, socket or goroutine: callers pass in the current
 // time.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -4,6 +4,11 @@
 // added (slow start), and ejects failing targets. The share of a version's
 // targets that can be ejected at the same time is limited.
 //
+// Some targets accept only a limited rate of calls. The load that the package answers
+// there is one that needs both the limits and the slots of the other targets: a
+// limited target counts with what its limit lets it run at once, and long calls go
+// there first once slots are scarce.
+//
 // The package uses no clock, socket or goroutine: callers pass in the current
 // time.
 package picker
@@ -249,9 +254,10 @@
 const crossZonePenalty = 1.5
 
 // shortestQueue returns the target with the shortest expected wait, derived
-// from its load, slots and mean service time. crossZonePenalty and
-// lastResortPenalty increase the expected wait of targets that are less
-// suitable. shortestQueue returns nil if criteria.Queue is false.
+// from its load, capacity and mean service time. crossZonePenalty,
+// lastResortPenalty and, at targets that are not bound by a rate limit, the relative
+// length of the call change the expected wait of targets that are less suitable.
+// shortestQueue returns nil if criteria.Queue is false.
 func (picker *Picker) shortestQueue(now time.Time, criteria Criteria, candidates []*targetState) *targetState {
 	if !criteria.Queue {
 		return nil
@@ -282,9 +288,10 @@
 const lastResortPenalty = 3600
 
 // prefer filters the candidates by these conditions in turn: the target is not
-// suspect, is not ejected, has not refused a call recently, has a free slot,
-// and is in the node's own zone with a free slot. A condition that no remaining
-// candidate meets is skipped.
+// suspect, is not ejected, has not refused a call recently, has capacity, has
+// capacity of the kind that suits the length of the call while slots are scarce, and
+// is in the node's own zone with capacity. A condition that no remaining candidate
+// meets is skipped.
 func (picker *Picker) prefer(now time.Time, criteria Criteria, candidates []*targetState) []*targetState {
 	isLong, slotsAreScarce := picker.relativeTime(criteria) >= 1, areSlotsScarce(now, candidates)
 	preferences := []func(*targetState) bool{
