node: a rate limit that cannot be read is logged

It was only counted, so on-call could not tell which upstream stated it. One line a second at most, with the limit that is kept.

--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -38,6 +38,8 @@
 	nodeLeaving    bool
 	failedConnects int
 	limitLog       limitLog
+	// unreadableLogged is the time of the latest log line about an unreadable limit.
+	unreadableLogged time.Time
 	// recordedLimit is the rate limit in the latest record.
 	recordedLimit lease.RateLimit
 	// pacing wakes runPacing when a call may wait for the rate limit.
--- a/internal/node/limitlog.go
+++ b/internal/node/limitlog.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// logUnreadableLimit counts a response whose rate limit could not be read, and logs
+// it at most once per limitLogInterval.
+func (gate *gate) logUnreadableLimit(upstream lease.Notice) {
+	gate.node.stats.Count("vp_upstream_limit_unreadable_total", 1)
+	now := gate.node.now()
+	gate.lock.Lock()
+	due := now.Sub(gate.unreadableLogged) >= limitLogInterval
+	if due {
+		gate.unreadableLogged = now
+	}
+	limit := gate.rateLimit()
+	gate.lock.Unlock()
+	if perSecond, limited := limit.PerSecond(); due {
+		gate.log.Info("rate limit of the upstream could not be read", "upstream", upstream.ID, "born", upstream.Born, "keptLimited", limited, "keptPerSecond", perSecond)
+	}
+}
+
 // logLimit writes a line about a limited upstream once per limitLogInterval.
 func (gate *gate) logLimit(now time.Time) {
 	gate.lock.Lock()
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -39,7 +39,7 @@
 // call reaches it once observe has returned, and other nodes are told.
 func (gate *gate) observe(sent time.Time, upstream lease.Notice, statement lease.Statement) {
 	if statement.LimitUnreadable {
-		gate.node.stats.Count("vp_upstream_limit_unreadable_total", 1)
+		gate.logUnreadableLimit(upstream)
 	}
 	now := gate.node.now()
 	gate.lock.Lock()
--- a/internal/node/statement_test.go
+++ b/internal/node/statement_test.go
@@ -361,3 +361,18 @@
 		require.Equal(t, isChosen, ok, target.ID)
 	}
 }
+
+// TestUnreadableLimitKeepsTheOneBefore has an upstream state a limit in a form that
+// cannot be read.
+func TestUnreadableLimitKeepsTheOneBefore(t *testing.T) {
+	clock := newTestClock()
+	upstream := startStatingUpstream(t, clock)
+	node := newGateNode(t, clock, upstream.address)
+	upstream.state(map[string]string{proxy.HeaderLimit: "2"})
+	callGate(node, nil)
+	upstream.state(map[string]string{proxy.HeaderLimit: "two"})
+	clock.advance(time.Second)
+	require.Equal(t, fasthttp.StatusOK, callGate(node, nil))
+	require.EqualValues(t, 2, node.gate.upstreamLimit())
+	require.EqualValues(t, 1, node.stats.Value("vp_upstream_limit_unreadable_total"))
+}
