--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -291,9 +291,7 @@
 		moveResponse(&call.request.Response, response)
 		call.request.Response.Header.Del(proxy.HeaderLoad)
 		call.request.Response.Header.Del(proxy.HeaderStarved)
-		call.request.Response.Header.Del(proxy.HeaderLimit)
-		call.request.Response.Header.Del(proxy.HeaderLeaving)
-		call.request.Response.Header.Del(proxy.HeaderInstance)
+		dropStatement(&call.request.Response.Header)
 		call.request.Response.Header.ResetConnectionClose()
 		node.dialect.Ran(&call.request.Response)
 		return last
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -276,9 +276,7 @@
 	header.ResetConnectionClose()
 	gate.recordConnect(true)
 	info := gate.node.dialect.ResponseInfo(&request.Response)
-	header.Del(proxy.HeaderLimit)
-	header.Del(proxy.HeaderLeaving)
-	header.Del(proxy.HeaderInstance)
+	dropStatement(header)
 	if info.WrongUpstream {
 		gate.withdraw("another upstream answers at its address")
 	} else if !info.Unverified {
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -119,6 +119,14 @@
 	}
 }
 
+// dropStatement removes the headers of writeStatement. An upstream may have set them,
+// and callers must not get them.
+func dropStatement(header *fasthttp.ResponseHeader) {
+	header.Del(proxy.HeaderLimit)
+	header.Del(proxy.HeaderLeaving)
+	header.Del(proxy.HeaderInstance)
+}
+
 func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', -1, 64) }
 
 func formatInstance(id string, born int64) string { return strconv.FormatInt(born, 10) + "/" + id }
