node: a departure is acknowledged once other nodes know it

Cause: the record of the departure waited for the next tick (up to 50 ms) when the acknowledgement went out. A restarted node restores its upstream from the records of other nodes, which still named it as serving.

Ruled out: late notices (a deregistered upstream sends none). Leaving out the lease after a restart would hide it, but a delayed notice would still bring the upstream back.

Related: records are read under the lock that orders them; a departure waits for the state from before a restart; that state is taken from any message and announced with it.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -418,7 +418,9 @@
 // RestoreFormer implements tree.Host. The tree calls it with the record that this
 // process announced before its restart. It does nothing, because a control VM has
 // no upstream to restore from the record.
-func (control *Control) RestoreFormer(member.Record) {}
+func (control *Control) RestoreFormer(member.Record) (member.Record, bool) {
+	return member.Record{}, false
+}
 
 // Applied implements tree.Host. It does nothing, because the configurations of a
 // root come from the log.
--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -74,6 +74,11 @@
 	nextDigest       time.Time
 	nextFlush        time.Time
 
+	// replications holds the own records that not enough other nodes have received.
+	// lastReplication is the latest key.
+	replications    map[ReplicationID]*replication
+	lastReplication ReplicationID
+
 	// stale is true on a root that accepts no children because it has lost
 	// contact with the quorum of control VMs and may miss configurations.
 	stale bool
@@ -97,6 +102,7 @@
 		deltas:            map[uint64]*rsrc.Delta{},
 		links:             map[LinkID]*link{},
 		observations:      map[observationKey]*Observation{},
+		replications:      map[ReplicationID]*replication{},
 		joinTokens:        float64(settings.JoinsPerSecond),
 		joinTokensUpdated: now,
 		nextDigest:        now.Add(time.Duration(random.Int64N(int64(settings.Timing.Compare)))),
@@ -187,6 +193,7 @@
 	core.refusePending(now)
 	core.findParent(now)
 	core.maintainLaterals(now)
+	core.continueReplications()
 	if !now.Before(core.nextDigest) {
 		core.nextDigest = now.Add(core.settings.Timing.Compare)
 		core.sendDigests()
@@ -259,6 +266,10 @@
 		core.receiveDigest(from, *message.Digest)
 	case message.Path != nil:
 		core.receivePath(now, from, message.Path)
+	case message.Sync != nil:
+		core.receiveSync(from, *message.Sync)
+	case message.Synced > 0:
+		core.receiveSynced(from, message.Synced)
 	case message.Bye:
 		core.receiveBye(now, from)
 	}
@@ -390,6 +401,9 @@
 
 func (core *Core) receiveRecords(now time.Time, from *link, records []member.Record) {
 	for _, record := range records {
+		if record.Name == core.settings.Name {
+			core.addAction(Action{Former: &record})
+		}
 		changed, ok := core.table.Merge(now, record)
 		if !ok {
 			continue
--- a/internal/distr/types.go
+++ b/internal/distr/types.go
@@ -52,11 +52,23 @@
 	// Path is sent to a child when its ancestors change. It lists them, nearest
 	// first.
 	Path []string
+	// Sync asks for a reply with Synced.
+	Sync *Sync
+	// Synced confirms that the sender has the record for which Sync asked.
+	Synced ReplicationID
 	// Bye announces that the sender closes the connection. The receiver must
 	// not suspect the sender of having failed.
 	Bye bool
 }
 
+// Sync asks whether the receiver has the sender's record that was sent before.
+type Sync struct {
+	ID ReplicationID
+	// Incarnation is that of the record. A receiver that knows a higher one has
+	// rejected the record.
+	Incarnation uint64
+}
+
 // Hello is the first message on a connection. The side that dialled sends it.
 type Hello struct {
 	Name string
@@ -210,9 +222,11 @@
 	// Refused is the error of an update that failed validation and was not
 	// applied.
 	Refused error
-	// Former is the other end's record of this node. After a restart it is the
+	// Former is another node's record of this node. After a restart it is the
 	// record that this node announced before.
 	Former *member.Record
+	// Replicated reports that enough other nodes have received a record.
+	Replicated ReplicationID
 	// Confirm requests a version confirmed by a quorum, for the node that joins
 	// on connection ID. Only roots emit it; the owner then calls Confirmed.
 	Confirm bool
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -148,6 +148,12 @@
 			born, until = tracker.current.Born, time.Time{}
 		}
 	}
+	if until.IsZero() {
+		// A record that expires must not stand in for one that does not.
+		tracker.deregistrations = slices.DeleteFunc(tracker.deregistrations, func(gone deregistration) bool {
+			return gone.id == id && !gone.until.IsZero()
+		})
+	}
 	if id != "" && !tracker.deregistered(id, born) {
 		tracker.deregistrations = append(tracker.deregistrations, deregistration{id: id, born: born, until: until})
 		tracker.deregistrations = tracker.deregistrations[max(0, len(tracker.deregistrations)-maxDeregistrations):]
@@ -182,9 +188,10 @@
 //   - If gone is true, the incarnation is deregistered.
 //   - If the same incarnation is present, it becomes draining if the notice is
 //     draining. The rest of the notice is ignored.
-//   - If another upstream or incarnation is present, if the incarnation has
-//     deregistered, or if the notice does not supersede the latest one, the
-//     notice is ignored.
+//   - If another upstream or incarnation is present, or if the notice does not
+//     supersede the latest one, the notice is ignored.
+//   - If the incarnation has deregistered, the notice becomes the latest one, so that
+//     the node's record names the upstream that is gone.
 //   - Otherwise the notice becomes the latest one. If it has an address and a
 //     service, the upstream is present with a lease of ttl. If not, the upstream
 //     becomes present with its next notice.
@@ -194,17 +201,16 @@
 	}
 	if gone {
 		tracker.Deregister(now, notice.ID, notice.Born)
-		return
 	}
 	if tracker.present && notice.sameIncarnation(tracker.current) {
 		tracker.current.Draining = tracker.current.Draining || notice.Draining
 		return
 	}
-	if tracker.present || tracker.deregistered(notice.ID, notice.Born) || !notice.supersedes(tracker.current) {
+	if tracker.present || !notice.supersedes(tracker.current) {
 		return
 	}
 	tracker.setCurrent(notice)
-	if notice.Address != "" && notice.Service != "" {
+	if !tracker.deregistered(notice.ID, notice.Born) && notice.Address != "" && notice.Service != "" {
 		tracker.present, tracker.expires = true, now.Add(ttl)
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillapulley/vanillapulley/internal/lease"
@@ -104,18 +106,25 @@
 // AcceptNotice applies a notice of the upstream. Until this node has received
 // what other nodes know of its upstream, it cannot tell whether a notice is
 // stale. During that time a notice of a draining upstream is applied
-// immediately, and any other notice is stored and applied later.
-func (node *Node) AcceptNotice(notice lease.Notice) {
+// immediately, and any other notice is stored and applied later. An error means that
+// the notice was applied but must not be acknowledged.
+func (node *Node) AcceptNotice(notice lease.Notice) error {
 	if !notice.Draining && !node.formerStateKnown() {
 		node.earlyNotice.Store(&notice)
 		// If the state has arrived in the meantime, the notice is applied now.
 		if !node.formerStateKnown() {
-			return
+			return nil
 		}
 	}
 	if !node.gate.accept(notice, node.noticeTTL) {
 		node.log.Info("stale notice ignored", "upstream", notice.ID, "born", notice.Born, "sequence", notice.Sequence)
 	}
+	if !notice.Draining {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(node.ctx, departureTimeout)
+	defer cancel()
+	return node.replicateDeparture(ctx, notice.ID)
 }
 
 // acceptEarlyNotice applies the notice that arrived before formerStateKnown
@@ -131,11 +140,21 @@
 
 // Deregister marks an instance of an upstream as permanently gone. The time born
 // is the start time of the instance in milliseconds since 1970; zero stands for
-// the latest known instance.
-func (node *Node) Deregister(id string, born int64) {
+// the latest known instance. An error means that no further call reaches the instance
+// at present, but that the request must not be acknowledged.
+func (node *Node) Deregister(id string, born int64) error {
 	if notice := node.earlyNotice.Load(); notice != nil && notice.ID == id && born == 0 {
 		// The gate does not know this instance yet.
 		born = notice.Born
 	}
 	node.gate.deregister(id, born)
+	ctx, cancel := context.WithTimeout(node.ctx, departureTimeout)
+	defer cancel()
+	if !node.formerStateKnown() {
+		if err := node.awaitFormerState(ctx); err != nil {
+			return trace.Wrap(err, "the state before the restart is not known yet")
+		}
+		node.gate.deregister(id, born)
+	}
+	return node.replicateDeparture(ctx, id)
 }
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -42,6 +42,8 @@
 	unreadableLogged time.Time
 	// recordedLimit is the rate limit in the latest record.
 	recordedLimit lease.RateLimit
+	// replicated is the latest departure of an upstream that other nodes know.
+	replicated departure
 	// pacing wakes runPacing when a call may wait for the rate limit.
 	pacing chan struct{}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,9 @@
 	// synced is true once a configuration is in force and the picker has the
 	// targets that came with it.
 	synced atomic.Bool
+	// formerState is closed once formerStateKnown returns true.
+	formerState     chan struct{}
+	formerStateOnce sync.Once
 	// recordChanged is true if this node's record must be announced again.
 	recordChanged atomic.Bool
 	gate          *gate
@@ -199,6 +202,7 @@
 		budgets:     map[string]*retry.Budget{},
 		peers:       1,
 		splits:      newSplits(),
+		formerState: make(chan struct{}),
 	}
 	if node.dialect == nil {
 		node.dialect, node.keyed = defaultDialect{}, true
@@ -282,8 +286,9 @@
 
 // publishRecord distributes the current record of this node to the other nodes.
 func (node *Node) publishRecord() {
-	record := node.gate.record()
-	node.tree.Do(func(core *distr.Core, now time.Time) { core.Announce(now, record) })
+	// The record is read under the tree's lock. Otherwise an older record could be
+	// announced after a newer one.
+	node.tree.Do(func(core *distr.Core, now time.Time) { core.Announce(now, node.gate.record()) })
 }
 
 // runBookkeeping periodically updates the picker's targets and checks leases
@@ -372,11 +377,17 @@
 func (node *Node) Applied(config *rsrc.Config) {
 	node.config.Store(config)
 	node.claims.setWitnesses(config)
+	node.formerStateOnce.Do(func() { close(node.formerState) })
 }
 
 // RestoreFormer implements tree.Host. It restores the state of this node's
 // upstream from the record that another node kept from before a restart.
-func (node *Node) RestoreFormer(previous member.Record) { node.gate.restoreUpstream(previous) }
+func (node *Node) RestoreFormer(previous member.Record) (member.Record, bool) {
+	if !node.gate.restoreUpstream(previous) {
+		return member.Record{}, false
+	}
+	return node.gate.record(), true
+}
 
 // formerStateKnown reports whether this node has already received the record
 // that other nodes keep of its upstream, if there is one. The first
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -62,9 +62,11 @@
 			failure = errors.Join(failure, trace.Wrap(err, "calls were still in progress at the end of the grace period"))
 		}
 	}
-	record := node.gate.record()
-	record.State = member.StateGone
-	node.tree.Do(func(core *distr.Core, now time.Time) { core.Leave(now, record) })
+	node.tree.Do(func(core *distr.Core, now time.Time) {
+		record := node.gate.record()
+		record.State = member.StateGone
+		core.Leave(now, record)
+	})
 	time.Sleep(leavePropagation / 3)
 	return failure
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -97,14 +97,15 @@
 }
 
 // restoreUpstream restores the state of the upstream that this node announced
-// before a restart.
-func (gate *gate) restoreUpstream(previous member.Record) {
+// before a restart. It reports whether this changed the node's record.
+func (gate *gate) restoreUpstream(previous member.Record) bool {
 	upstream := previous.Upstream
 	// Incarnations are compared for equality only. They are start times, so if
 	// the clock was set back, the previous run has the higher one.
 	if previous.Incarnation == gate.node.incarnation || upstream.ID == "" {
-		return
+		return false
 	}
+	before := gate.record().Upstream
 	gate.lock.Lock()
 	gate.tracker.Restore(gate.node.now(), lease.Notice{
 		ID: upstream.ID, Born: upstream.Born, Sequence: upstream.Sequence, Draining: upstream.Draining,
@@ -119,11 +120,12 @@
 		gate.limit.Drain()
 	}
 	gate.lock.Unlock()
+	if gate.record().Upstream == before {
+		return false
+	}
 	gate.log.Info("upstream restored from other nodes", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
 		"draining", upstream.Draining, "gone", upstream.Gone, "limited", upstream.Limited, "perSecond", upstream.Limit)
-	// This runs under the tree's lock, so the record is published later, by the
-	// bookkeeping task.
-	gate.node.recordChanged.Store(true)
+	return true
 }
 
 // withdraw marks the upstream as absent until its next notice. It gets no new
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
 
 	"github.com/vanillapulley/vanillapulley/internal/distr"
 	"github.com/vanillapulley/vanillapulley/internal/link"
@@ -41,9 +42,11 @@
 type Host interface {
 	// Applied is called when a new configuration is in force. It must not block.
 	Applied(config *rsrc.Config)
-	// RestoreFormer is called with the membership record that this node announced
-	// before it was restarted, received from another node. It must not block.
-	RestoreFormer(former member.Record)
+	// RestoreFormer is called with a membership record of this node, received from
+	// another node. The record may be one that this node announced before it was
+	// restarted. If RestoreFormer returns true, the returned record replaces the
+	// announced one. It must not block.
+	RestoreFormer(former member.Record) (member.Record, bool)
 	// Confirm requests a configuration version that is confirmed by a quorum of
 	// the control VMs, for the node that is joining on the connection with the
 	// given link ID. The host later passes the result to the core's Confirmed
@@ -78,6 +81,8 @@
 	// encoded caches encoded updates, because many receivers get the same one.
 	// It is cleared with each new configuration.
 	encoded map[*rsrc.Delta]wire.Update
+	// replicated holds the channels to close when a record is replicated.
+	replicated map[distr.ReplicationID]chan<- struct{}
 	// parent is the name of the parent that was last logged, or empty if there
 	// was none.
 	parent string
@@ -98,6 +103,8 @@
 		conns:   map[distr.LinkID]*link.Conn{},
 		linkIDs: map[*link.Conn]distr.LinkID{},
 		encoded: map[*rsrc.Delta]wire.Update{},
+
+		replicated: map[distr.ReplicationID]chan<- struct{}{},
 	}
 }
 
@@ -141,6 +148,28 @@
 	}
 }
 
+// Replicate announces the record that the function returns and waits until enough
+// other nodes have received it or the context ends. The function is called under the
+// tree's lock.
+func (tree *Tree) Replicate(ctx context.Context, record func() member.Record) error {
+	received := make(chan struct{})
+	var id distr.ReplicationID
+	tree.Do(func(core *distr.Core, now time.Time) {
+		id = core.Replicate(now, record())
+		tree.replicated[id] = received
+	})
+	select {
+	case <-received:
+		return nil
+	case <-ctx.Done():
+	}
+	tree.Do(func(core *distr.Core, _ time.Time) {
+		core.CancelReplication(id)
+		delete(tree.replicated, id)
+	})
+	return trace.Wrap(ctx.Err(), "no other node has received the record")
+}
+
 // perform carries out one action of the core. The tree's lock must be held.
 func (tree *Tree) perform(action distr.Action) {
 	switch {
@@ -162,7 +191,12 @@
 		tree.stats.Count("vp_config_refused_total", 1)
 		tree.log.Error(action.Refused, "configuration refused")
 	case action.Former != nil:
-		tree.host.RestoreFormer(*action.Former)
+		if record, changed := tree.host.RestoreFormer(*action.Former); changed {
+			tree.core.Announce(tree.now(), record)
+		}
+	case action.Replicated > 0:
+		close(tree.replicated[action.Replicated])
+		delete(tree.replicated, action.Replicated)
 	case action.Confirm:
 		tree.host.Confirm(action.ID)
 	}
@@ -198,6 +232,10 @@
 		return "digest"
 	case message.Path != nil:
 		return "path"
+	case message.Sync != nil:
+		return "sync"
+	case message.Synced > 0:
+		return "synced"
 	default:
 		return "bye"
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -22,6 +22,14 @@
 	Digest     *Digest         `json:"digest,omitempty"`
 	Path       []string        `json:"path,omitempty"`
 	Bye        bool            `json:"bye,omitempty"`
+	Sync       *Sync           `json:"sync,omitempty"`
+	Synced     uint64          `json:"synced,omitempty"`
+}
+
+// Sync is the encoded form of the question whether a record has arrived.
+type Sync struct {
+	ID          uint64 `json:"id"`
+	Incarnation uint64 `json:"i"`
 }
 
 // Hello is the encoded form of the first message on a connection between nodes.
@@ -180,7 +188,10 @@
 // ignores message.Update; update is the encoded form of it, so that an update
 // for many receivers is encoded only once.
 func FromTreeMessage(message distr.Message, update Update) TreeMessage {
-	encoded := TreeMessage{Update: update.plain, Compressed: update.compressed, Path: message.Path, Bye: message.Bye}
+	encoded := TreeMessage{Update: update.plain, Compressed: update.compressed, Path: message.Path, Bye: message.Bye, Synced: uint64(message.Synced)}
+	if message.Sync != nil {
+		encoded.Sync = &Sync{ID: uint64(message.Sync.ID), Incarnation: message.Sync.Incarnation}
+	}
 	if message.Hello != nil {
 		hello := Hello(*message.Hello)
 		encoded.Hello = &hello
@@ -251,7 +262,10 @@
 // Domain converts the message to the domain type. It returns an error if the
 // message has an update that cannot be decoded.
 func (encoded TreeMessage) Domain() (distr.Message, error) {
-	message := distr.Message{Path: encoded.Path, Bye: encoded.Bye}
+	message := distr.Message{Path: encoded.Path, Bye: encoded.Bye, Synced: distr.ReplicationID(encoded.Synced)}
+	if encoded.Sync != nil {
+		message.Sync = &distr.Sync{ID: distr.ReplicationID(encoded.Sync.ID), Incarnation: encoded.Sync.Incarnation}
+	}
 	if encoded.Hello != nil {
 		hello := distr.Hello(*encoded.Hello)
 		message.Hello = &hello
