front, platform: a client cannot set the headers of the node

Cause: RequestHeader.Set leaves further values of a header in place, and the Trailer header was passed on, so that fasthttp moved the node's headers into a trailer section.

Ruled out: other spellings, white space and folding of the name (they end as one value or as 400).

Change: headers of the node are removed before they are set (SetOnly); Trailer and trailer fields are dropped when a request or a response is read.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -298,6 +298,9 @@
 	if err := request.Request.Header.Read(conn.reader); err != nil {
 		return errorStatus(err), err
 	}
+	// fasthttp moves the headers that are announced as trailers out of the header
+	// section.
+	request.Request.Header.Del(fasthttp.HeaderTrailer)
 	if request.Request.MayContinue() {
 		if _, err := io.WriteString(conn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
@@ -311,10 +314,24 @@
 		return errorStatus(err), err
 	}
 	defer conn.meter.Stop()
-	err := request.Request.ContinueReadBody(conn.reader, limits.MaxBody, false)
+	err := conn.readBody(&request.Request, length, limits.MaxBody)
 	return errorStatus(err), err
 }
 
+// lengthChunked is the length that fasthttp returns for chunked encoding.
+const lengthChunked = -1
+
+// readBody reads the body of a request and drops its trailer section, if any.
+func (conn *conn) readBody(request *fasthttp.Request, length, maxBody int) error {
+	if length != lengthChunked {
+		return request.ContinueReadBody(conn.reader, maxBody, false)
+	}
+	if err := request.ReadBody(conn.reader, length, maxBody); err != nil {
+		return err
+	}
+	return proxy.DiscardTrailer(conn.reader)
+}
+
 // errorStatus returns the status of the response to a request that cannot be
 // read. It returns zero if err is nil or the connection is lost, in which case no
 // response can be sent.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -283,3 +283,34 @@
 	require.NoError(t, <-ended)
 	require.NoError(t, <-served)
 }
+
+// TestTrailersAreDropped guards against callers that set a header of the node in the
+// trailer section, or have the node's own header moved there.
+func TestTrailersAreDropped(t *testing.T) {
+	seen := make(chan string, 1)
+	fixture := startServer(t, func(_ context.Context, request *fasthttp.RequestCtx) {
+		header := &request.Request.Header
+		header.Set("Set-By-Node", "node")
+		seen <- fmt.Sprintf("%q %q %q", header.String(), header.PeekTrailerKeys(), request.Request.Body())
+	})
+	for name, sent := range map[string]string{
+		"announced":     "Trailer: Set-By-Node\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSet-By-Node: caller\r\n\r\n",
+		"not announced": "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSet-By-Node: caller\r\n\r\n",
+		"only in head":  "Trailer: Set-By-Node\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, reader := fixture.dial(t)
+			for range 2 {
+				_, err := io.WriteString(conn, "PUT / HTTP/1.1\r\nHost: h\r\n"+sent)
+				require.NoError(t, err)
+				status, _, _ := readResponse(t, reader)
+				require.Equal(t, http.StatusOK, status)
+				got := <-seen
+				require.Contains(t, got, `Set-By-Node: node\r\n`)
+				require.NotContains(t, got, "caller")
+				require.NotContains(t, got, "Trailer")
+				require.Contains(t, got, `[] "ok"`)
+			}
+		})
+	}
+}
--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -116,7 +116,7 @@
 
 // ForwardInfo implements Dialect.
 func (defaultDialect) ForwardInfo(request *fasthttp.Request, info ForwardInfo) {
-	request.Header.Set(proxy.HeaderTimeout, strconv.FormatInt(max(1, info.Timeout.Milliseconds()), 10))
+	proxy.SetOnly(&request.Header, proxy.HeaderTimeout, strconv.FormatInt(max(1, info.Timeout.Milliseconds()), 10))
 }
 
 // Belongs implements Dialect. An upstream may echo the request's ID; a response
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -136,6 +135,9 @@
 			break
 		}
 	}
+	// fasthttp moves the headers that are announced as trailers out of the header
+	// section.
+	response.Header.Del(fasthttp.HeaderTrailer)
 	if response.SkipBody || !statusAllowsBody(response.StatusCode()) {
 		return nil
 	}
@@ -155,7 +157,7 @@
 	}
 	switch length {
 	case lengthChunked:
-		if err := response.Header.ReadTrailer(conn.reader); err != nil && !errors.Is(err, io.EOF) {
+		if err := DiscardTrailer(conn.reader); err != nil {
 			return err
 		}
 	case lengthUntilClose:
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -4,6 +4,14 @@
 // closed and never reused.
 package proxy
 
+import (
+	"bufio"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
 // Headers used between callers, nodes and upstreams.
 const (
 	// HeaderIdempotencyKey is the caller's idempotency key, a UUID of version 7.
@@ -78,3 +86,21 @@
 	// OutcomeUnknown means that the call may have run.
 	OutcomeUnknown Outcome = "unknown"
 )
+
+// SetOnly sets a header to one value. RequestHeader.Set replaces only the first of
+// several values.
+func SetOnly(header *fasthttp.RequestHeader, name, value string) {
+	header.Del(name)
+	header.Set(name, value)
+}
+
+// DiscardTrailer reads the trailer section of a chunked message and drops its fields.
+// A sender could otherwise use it to set headers that the node sets.
+func DiscardTrailer(reader *bufio.Reader) error {
+	var discarded fasthttp.ResponseHeader
+	err := discarded.ReadTrailer(reader)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -261,3 +261,30 @@
 	require.NoError(t, send("/other"))
 	require.EqualValues(t, size, budget.Held())
 }
+
+// TestTrailersOfResponsesAreDropped guards against a peer whose trailer section is taken
+// for headers of its response, or whose last chunk is cut off.
+func TestTrailersOfResponsesAreDropped(t *testing.T) {
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		end := "0\r\nMark: trailer\r\n\r\n"
+		if path == "/cut" {
+			end = "0\r\n"
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTrailer: Mark\r\nMark: header\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"+end)
+		return path != "/cut"
+	})
+	pools := newPools()
+	for range 2 {
+		var request fasthttp.Request
+		var response fasthttp.Response
+		request.SetRequestURI("http://" + peer.address() + "/whole")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		require.NoError(t, pools.Do(ctx, peer.address(), &request, &response))
+		cancel()
+		require.Equal(t, "ok", string(response.Body()))
+		require.Contains(t, response.Header.String(), "Mark: header\r\n")
+		require.NotContains(t, response.Header.String(), "railer")
+	}
+	_, err := get(t, pools, peer.address(), "/cut", time.Second)
+	require.Error(t, err)
+}
