proxy: a request id is sent once on a connection

Cause: both sends of an attempt have the same id. On a reused connection the late copy of the upstream's refusal was taken for the response to the second send.

Ruled out: the retry, which rests on a true refusal; the check for unread data, which runs before the copy arrives.

Change: a connection remembers the ids of calls whose deadline has not passed and takes none of them again; the pool chooses another connection or opens one.

The two new tests fail without the change (503 for a call; response 001 instead of 002).

--- a/internal/node/hazards_test.go
+++ b/internal/node/hazards_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,6 +66,73 @@
 	}
 }
 
+// refusingDialect is the own dialect with upstreams that can refuse a call: such a
+// response has status 503.
+type refusingDialect struct{ defaultDialect }
+
+func (refusingDialect) ResponseInfo(response *fasthttp.Response) ResponseInfo {
+	return ResponseInfo{NotRun: response.StatusCode() == http.StatusServiceUnavailable}
+}
+
+// TestLateCopyOfARefusalReachesNobody guards against a call that is reported as not run,
+// or sent once more, although it runs: the only upstream refuses a call, and sends the
+// refusal again when the same call arrives a second time.
+func TestLateCopyOfARefusalReachesNobody(t *testing.T) {
+	created, err := New(Deps{
+		Settings: nodeSettings(t, "n1"), Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random, Dialect: refusingDialect{},
+	})
+	require.NoError(t, err)
+	node := runNode(t, created, kindConfig(t))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	refused, ran := map[string]int{}, &atomic.Int64{}
+	var lock sync.Mutex
+	go acceptAll(listener, func(conn net.Conn, request *fasthttp.Request, connState *string) {
+		id := string(request.Header.Peek(proxy.HeaderRequestID))
+		lock.Lock()
+		refused[id]++
+		first := refused[id] == 1
+		lock.Unlock()
+		head := "HTTP/1.1 %s\r\n" + proxy.HeaderRequestID + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+		if first {
+			*connState = fmt.Sprintf(head, "503 Service Unavailable")
+			_, _ = io.WriteString(conn, *connState)
+			return
+		}
+		ran.Add(1)
+		_, _ = io.WriteString(conn, *connState+fmt.Sprintf(head, "200 OK"))
+		*connState = ""
+	})
+	announce(t, node, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: listener.Addr().String()})
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, send(t, node, http.MethodPut, "/once/x"), i)
+		require.EqualValues(t, i+1, ran.Load())
+	}
+}
+
+// acceptAll calls a function for each request on each connection. The string is kept for
+// the connection.
+func acceptAll(listener net.Listener, answer func(conn net.Conn, request *fasthttp.Request, state *string)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			reader, state := bufio.NewReader(conn), ""
+			for {
+				var request fasthttp.Request
+				if request.Read(reader) != nil {
+					return
+				}
+				answer(conn, &request, &state)
+			}
+		}()
+	}
+}
+
 // TestCallEndsAtASilentTarget lets a target become suspect, and then disappear from
 // the membership, while it runs a call. The call must end with its response and
 // must not be sent again.
--- a/internal/node/proxysettings.go
+++ b/internal/node/proxysettings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
@@ -47,5 +49,10 @@
 	settings := proxy.DefaultSettings()
 	settings.MaxIdleTime, settings.DialTimeout, settings.UserTimeout = upstreamIdleTimeout, upstreamDialTimeout, tcpUserTimeout
 	settings.AllowCloseDelimited, settings.Belongs = true, dialect.Belongs
+	settings.RequestID = func(request *fasthttp.Request) string {
+		// A request whose other metadata cannot be read was refused before.
+		info, _ := dialect.RequestInfo(request)
+		return info.ID
+	}
 	return settings
 }
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +66,11 @@
 	// Belongs reports whether a response belongs to the request. If it is nil,
 	// every response is accepted.
 	Belongs func(request *fasthttp.Request, response *fasthttp.Response) bool
+	// RequestID returns the ID that Belongs compares, or an empty string if a request
+	// has none. No ID is sent twice on one connection: a late copy of the first
+	// response could not be told from the second response. If RequestID is nil,
+	// requests have no IDs.
+	RequestID func(request *fasthttp.Request) string
 }
 
 // DefaultSettings returns settings whose connection limit suits an upstream that
@@ -84,6 +91,9 @@
 	// maxIdleTime is Settings.MaxIdleTime or a shorter limit that follows from
 	// the peer's Keep-Alive header.
 	maxIdleTime time.Duration
+	// sent holds the IDs of the requests that were sent on the connection, with the
+	// deadlines of their calls. A call is not sent again after its deadline.
+	sent map[string]time.Time
 }
 
 // pool holds the connections to one address.
@@ -136,12 +146,15 @@
 		return &ExchangeError{Err: context.Cause(ctx)}
 	}
 	defer func() { <-pool.inUse }()
-	conn, err := pools.acquireConn(ctx, pool, address)
+	id := pools.requestID(request)
+	conn, err := pools.acquireConn(ctx, pool, address, id)
 	if err != nil {
 		return &ExchangeError{Err: err}
 	}
+	deadline, _ := ctx.Deadline()
+	conn.recordSent(id, deadline, pools.now())
 	err = pools.exchange(ctx, conn, request, response)
-	if err != nil || response.ConnectionClose() || request.ConnectionClose() {
+	if err != nil || response.ConnectionClose() || request.ConnectionClose() || len(conn.sent) >= maxSentIDs {
 		_ = conn.Close()
 		return err
 	}
@@ -152,19 +165,15 @@
 	return nil
 }
 
-// acquireConn returns an idle connection that is still usable, or else a new
-// connection. It closes the idle connections that are no longer usable.
-func (pools *Pools) acquireConn(ctx context.Context, pool *pool, address string) (*conn, error) {
+// acquireConn returns an idle connection that is still usable and on which no request
+// with this ID was sent, or else a new connection. It closes the idle connections that
+// are no longer usable.
+func (pools *Pools) acquireConn(ctx context.Context, pool *pool, address, id string) (*conn, error) {
 	for {
-		pool.lock.Lock()
-		count := len(pool.idle)
-		if count == 0 {
-			pool.lock.Unlock()
+		top := pool.take(id)
+		if top == nil {
 			return pools.dial(ctx, address)
 		}
-		top := pool.idle[count-1]
-		pool.idle = pool.idle[:count-1]
-		pool.lock.Unlock()
 		if pools.now().Sub(top.idle) < top.maxIdleTime && isReusable(top.Conn) {
 			return top, nil
 		}
@@ -172,6 +181,41 @@
 	}
 }
 
+// take removes the topmost connection on which no request with this ID was sent from
+// the stack. It returns nil if there is none.
+func (pool *pool) take(id string) *conn {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	for i, candidate := range slices.Backward(pool.idle) {
+		if _, sent := candidate.sent[id]; !sent {
+			pool.idle = slices.Delete(pool.idle, i, i+1)
+			return candidate
+		}
+	}
+	return nil
+}
+
+// requestID returns the ID of a request, or an empty string if it has none.
+func (pools *Pools) requestID(request *fasthttp.Request) string {
+	if pools.settings.RequestID == nil {
+		return ""
+	}
+	return pools.settings.RequestID(request)
+}
+
+// maxSentIDs is the number of calls that can still be sent again from which a
+// connection is closed instead of reused.
+const maxSentIDs = 512
+
+// recordSent records that a request was sent, and forgets the calls that are over.
+func (conn *conn) recordSent(id string, deadline, now time.Time) {
+	if id == "" {
+		return
+	}
+	maps.DeleteFunc(conn.sent, func(_ string, deadline time.Time) bool { return now.After(deadline) })
+	conn.sent[id] = deadline
+}
+
 func (pools *Pools) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: pools.settings.DialTimeout, KeepAliveConfig: pools.settings.tcpKeepAlive()}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
@@ -184,7 +228,7 @@
 		}
 	}
 	meter := quota.NewMeter(raw)
-	return &conn{Conn: raw, meter: meter, reader: bufio.NewReader(meter), writer: bufio.NewWriter(raw), maxIdleTime: pools.settings.MaxIdleTime}, nil
+	return &conn{Conn: raw, meter: meter, reader: bufio.NewReader(meter), writer: bufio.NewWriter(raw), maxIdleTime: pools.settings.MaxIdleTime, sent: map[string]time.Time{}}, nil
 }
 
 // isReusable reports whether an idle connection is open and has no data to read.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -288,3 +288,50 @@
 	_, err := get(t, pools, peer.address(), "/cut", time.Second)
 	require.Error(t, err)
 }
+
+// TestAnIDIsSentOnceOnAConnection guards against a late copy of the first response to a
+// call that is taken for the response to its second send.
+func TestAnIDIsSentOnceOnAConnection(t *testing.T) {
+	var count atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader, last := bufio.NewReader(conn), ""
+				for {
+					var request fasthttp.Request
+					if request.Read(reader) != nil {
+						return
+					}
+					own := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\n%03d", request.Header.Peek("Id"), count.Add(1))
+					_, _ = io.WriteString(conn, last+own)
+					last = own
+				}
+			}()
+		}
+	}()
+	settings := DefaultSettings()
+	settings.Belongs = func(request *fasthttp.Request, response *fasthttp.Response) bool {
+		return string(request.Header.Peek("Id")) == string(response.Header.Peek("Id"))
+	}
+	settings.RequestID = func(request *fasthttp.Request) string { return string(request.Header.Peek("Id")) }
+	pools, address := New(settings, time.Now), listener.Addr().String()
+	for i := range 30 {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		var request fasthttp.Request
+		var response fasthttp.Response
+		request.SetRequestURI("http://" + address + "/")
+		request.Header.Set("Id", fmt.Sprint("call-", i/3))
+		require.NoError(t, pools.Do(ctx, address, &request, &response))
+		cancel()
+		require.Equal(t, fmt.Sprintf("%03d", i+1), string(response.Body()))
+	}
+	require.Len(t, pools.pool(address).idle, 3, "connections are reused by other calls")
+}
