--- a/internal/ctrl/ready.go
+++ b/internal/ctrl/ready.go
@@ -34,11 +34,9 @@
 // must be called before the messages are sent.
 func (replica *replica) persist(ready raft.Ready) error {
 	if ready.ReceivedSnapshot != nil {
-		hardState := raft.HardState{Term: replica.core.Term()}
-		if ready.HardState != nil {
-			hardState = *ready.HardState
-		}
-		return replica.disk.SaveSnapshot(*ready.ReceivedSnapshot, hardState, ready.Entries)
+		// The log file is written anew, so the term and the vote must be written even
+		// if they have not changed.
+		return replica.disk.SaveSnapshot(*ready.ReceivedSnapshot, replica.core.HardState(), ready.Entries)
 	}
 	if ready.HardState == nil && len(ready.Entries) == 0 {
 		return nil
--- a/internal/ctrl/replica_test.go
+++ b/internal/ctrl/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,7 +15,9 @@
 	"github.com/vanillapulley/vanillapulley/internal/disk"
 	"github.com/vanillapulley/vanillapulley/internal/link"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
+	"github.com/vanillapulley/vanillapulley/internal/raft"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
+	"github.com/vanillapulley/vanillapulley/internal/store"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -79,6 +82,27 @@
 	}
 }
 
+// TestVoteOutlivesAReceivedSnapshot guards against two votes in one term: a replica votes,
+// receives a snapshot from the leader that it voted for, and restarts.
+func TestVoteOutlivesAReceivedSnapshot(t *testing.T) {
+	testReplica := newTestReplica(t)
+	now, members := time.Now(), testReplica.core.Members()
+	members = append(slices.Clone(members), raft.Member{ID: "c2-x", Voter: true}, raft.Member{ID: "c3-x", Voter: true})
+	step := func(message raft.Message) {
+		message.To = testReplica.id
+		require.NoError(t, testReplica.core.Step(now, message))
+		require.NoError(t, testReplica.processReady(t.Context()))
+	}
+	step(raft.Message{Kind: raft.MessageVote, From: "c2-x", Term: 7, Index: 90, LogTerm: 6})
+	step(raft.Message{Kind: raft.MessageSnapshot, From: "c2-x", Term: 7, Snapshot: &raft.Snapshot{
+		Index: 90, Term: 6, Members: members, Data: store.New().Snapshot(),
+	}})
+	require.NoError(t, testReplica.disk.Close())
+	require.NoError(t, testReplica.load())
+	require.Equal(t, raft.HardState{Term: 7, Vote: "c2-x"}, testReplica.core.HardState())
+	require.EqualValues(t, 90, testReplica.core.SnapshotIndex())
+}
+
 // TestFirstVotersBootstrapSameGroup guards against a split into several groups when
 // the first voters create their data folders independently: all three must write
 // the same members. A fourth control VM must join instead, and so must a first
