--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -147,12 +147,11 @@
 	if err != nil {
 		return durable, trace.ConvertSystemError(err)
 	}
-	disk.logSize, err = scanRecords(disk.path(logFile), data, func(payload []byte) error {
-		return replayRecord(&durable, payload)
-	})
-	if err != nil {
+	replay := logReplay{durable: durable}
+	if disk.logSize, err = scanRecords(disk.path(logFile), data, replay.add); err != nil {
 		return durable, err
 	}
+	durable = replay.durable
 	disk.tornBytes = int64(len(data)) - disk.logSize
 	return durable, disk.openLog()
 }
@@ -191,9 +190,19 @@
 	return &snapshot, nil
 }
 
-// replayRecord applies one log record to the state read so far. An entry replaces
-// all earlier entries whose index is equal or higher.
-func replayRecord(durable *raft.DurableState, payload []byte) error {
+// logReplay is the state read so far.
+type logReplay struct {
+	durable raft.DurableState
+	// diverged is true if the log has another entry at the index of the snapshot. The
+	// process crashed after it replaced the snapshot and before it replaced the log,
+	// whose entries after that index belong to a history that was given up.
+	diverged bool
+}
+
+// add applies one log record to the state read so far. An entry replaces all earlier
+// entries whose index is equal or higher.
+func (replay *logReplay) add(payload []byte) error {
+	durable := &replay.durable
 	var record wire.LogRecord
 	if err := json.Unmarshal(payload, &record); err != nil {
 		return err
@@ -205,6 +214,13 @@
 		return nil
 	}
 	entry := record.Entry.Domain()
+	if durable.Snapshot != nil && entry.Index <= durable.Snapshot.Index {
+		replay.diverged = entry.Index == durable.Snapshot.Index && entry.Term != durable.Snapshot.Term
+	}
+	if replay.diverged {
+		durable.Entries = nil
+		return nil
+	}
 	keep := len(durable.Entries)
 	for keep > 0 && durable.Entries[keep-1].Index >= entry.Index {
 		keep--
--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -105,6 +105,30 @@
 	require.Equal(t, uint64(41), durable.Entries[len(durable.Entries)-1].Index)
 }
 
+// TestEntriesOfAnotherHistoryDoNotFollowASnapshot guards against entries that a received
+// snapshot has replaced and that come back after a crash between the replacement of the
+// snapshot and that of the log.
+func TestEntriesOfAnotherHistoryDoNotFollowASnapshot(t *testing.T) {
+	for term, kept := range map[uint64]int{2: 2, 3: 0} {
+		folder := newFolder(t, 5)
+		old, err := os.ReadFile(filepath.Join(folder, logFile))
+		require.NoError(t, err)
+		disk, _ := reopen(t, folder)
+		snapshot := raft.Snapshot{Index: 3, Term: term, Members: []raft.Member{{ID: "c1-x", Voter: true}}, Data: []byte(`{}`)}
+		require.NoError(t, disk.SaveSnapshot(snapshot, raft.HardState{Term: 3, Vote: "c2-x"}, nil))
+		require.NoError(t, disk.Close())
+		require.NoError(t, os.WriteFile(filepath.Join(folder, logFile), old, fileMode))
+		_, durable := reopen(t, folder)
+		after := 0
+		for _, entry := range durable.Entries {
+			if entry.Index > snapshot.Index {
+				after++
+			}
+		}
+		require.Equal(t, kept, after, "snapshot of term %d", term)
+	}
+}
+
 func TestOpenRejectsLockedFolder(t *testing.T) {
 	folder := newFolder(t, 1)
 	reopen(t, folder)
@@ -118,12 +142,13 @@
 	f.Add(appendRecord(nil, []byte(`{"entry":{"index":18446744073709551615}}`)))
 	f.Add(appendRecord(nil, wire.MustEncode(wire.LogRecord{})))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var durable raft.DurableState
-		size, err := scanRecords("log", data, func(payload []byte) error { return replayRecord(&durable, payload) })
+		var replay logReplay
+		size, err := scanRecords("log", data, replay.add)
 		if err != nil {
 			return
 		}
 		require.LessOrEqual(t, size, int64(len(data)))
+		durable := replay.durable
 		for i := 1; i < len(durable.Entries); i++ {
 			require.Equal(t, durable.Entries[i-1].Index+1, durable.Entries[i].Index)
 		}
