proxy: tests of responses that are cut anywhere

A report of other operators: an upstream stopped in the middle of the head of its response and callers got 200 with an empty or short body.

TestFailedExchangesReturnTheirMemory: its peer closes the connection after a 304 and now says so. It checks the same memory.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -100,6 +100,36 @@
 	}
 }
 
+// TestResponseCutAnywhereIsAnError guards against a response that ends in the middle of
+// its head, or before the end of its body, and reaches the caller as a whole one.
+func TestResponseCutAnywhereIsAnError(t *testing.T) {
+	whole := []string{
+		"HTTP/1.1 200 OK\r\nMark: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nMark: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nMark: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nMark: 1\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.0 200 OK\r\nMark: 1\r\n\r\n",
+	}
+	peer := newPeer(t, func(conn net.Conn, path string) bool {
+		var response, length int
+		_, _ = fmt.Sscanf(path, "/%d/%d", &response, &length)
+		_, _ = io.WriteString(conn, whole[response][:length])
+		return false
+	})
+	settings := DefaultSettings()
+	settings.AllowCloseDelimited = true
+	pools := New(settings, time.Now)
+	for i, text := range whole {
+		for length := range len(text) {
+			_, err := get(t, pools, peer.address(), fmt.Sprintf("/%d/%d", i, length), time.Second)
+			require.Error(t, err, "%q", text[:length])
+			require.True(t, maybeSent(t, err))
+		}
+		_, err := get(t, pools, peer.address(), fmt.Sprintf("/%d/%d", i, len(text)), time.Second)
+		require.NoError(t, err)
+	}
+}
+
 func TestConnIsReusedAfterChunkedResponse(t *testing.T) {
 	peer := newPeer(t, func(conn net.Conn, _ string) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
@@ -234,7 +264,7 @@
 		"/cut":     whole[:len(whole)/2],
 		"/chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + body,
 		"/other":   other + whole,
-		"/nothing": "HTTP/1.1 304 Not Modified\r\n\r\n",
+		"/nothing": "HTTP/1.1 304 Not Modified\r\nConnection: close\r\n\r\n",
 	}
 	peer := newPeer(t, func(conn net.Conn, path string) bool {
 		_, _ = io.WriteString(conn, answers[path])
