ctrl: an equal rollout order is a resend for five seconds only

Operators saw: an order 10 s after a rollback that was acknowledged and had no effect; 400 for a valid configuration without a service whose rollout had finished (review). By reading: a second rollout by a resend to a control VM that had restarted.

Cause: equal orders counted as resends for 30 s, in the memory of one replica; the check of a configuration ran before the removal of obsolete rollouts was added.

Ruled out: a stored time of the order, whose clock may jump.

Change: 5 s from when the replica first saw the rollout in progress; 503 while it cannot know; RemoveObsoleteRollouts is shared by the check and the store.

--- a/internal/ctrl/fullconfig.go
+++ b/internal/ctrl/fullconfig.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"time"
 
+	"github.com/vanillapulley/vanillapulley/internal/store"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -58,6 +59,7 @@
 	change, err := fullConfig.change(config, edition)
 	if err == nil {
 		// Validate the change before proposing it. The result is not used.
+		store.RemoveObsoleteRollouts(config, &change)
 		_, err = config.Apply(config.Version()+1, change)
 	}
 	if err != nil {
@@ -147,10 +149,10 @@
 }
 
 // StartServiceRollout starts the rollout of a whole service. A repeated call with
-// the same arguments returns nil while the rollout is in progress. It also returns
-// nil within resendWindow after this replica first saw the rollout, even if the
-// rollout has ended. The error is a *wire.APIError with CodeConflict (another
-// rollout of the service is in progress), CodeInvalid or CodeUnavailable.
+// the same arguments returns nil while the rollout is in progress, and within
+// resendWindow after this replica first saw it in progress. Later, it starts the rollout
+// anew. The error is a *wire.APIError with CodeConflict (another rollout of the service
+// is in progress), CodeInvalid or CodeUnavailable.
 func (control *Control) StartServiceRollout(ctx context.Context, service, to string, within time.Duration) error {
 	config, err := control.CurrentConfig(ctx)
 	if err != nil {
@@ -158,9 +160,15 @@
 	}
 	current, exists := config.ServiceRollout(service)
 	if exists && current.To() == to && current.TimeLimit() == within {
-		if !current.LatestStep().State.Ended() || control.rolloutManager.inResendWindow(current.Epoch()) {
+		if !current.LatestStep().State.Ended() {
 			return nil
 		}
+		switch control.rolloutManager.classifyOrder(current.Epoch()) {
+		case resendYes:
+			return nil
+		case resendUnclear:
+			return &wire.APIError{Code: wire.CodeUnavailable, Reason: "it is not known yet whether this repeats the order of the rollout that has ended"}
+		}
 	}
 	if exists && !current.LatestStep().State.Ended() {
 		return &wire.APIError{Code: wire.CodeConflict, Path: current.Key().String(), Reason: "a rollout to " + current.To() + " is in progress"}
--- a/internal/ctrl/rollouts.go
+++ b/internal/ctrl/rollouts.go
@@ -28,15 +28,23 @@
 	log         logr.Logger
 	timing      canary.Timing
 	controllers map[string]*activeController
-	// firstSeen maps the epoch of each rollout to the time, on the monotonic clock,
-	// at which this replica first saw the rollout. The epoch identifies a rollout.
-	// The time limit of the rollout of a whole service starts at that time.
-	firstSeen map[uint64]time.Time
+	// firstSeen maps the epoch of each rollout, which identifies it, to when this
+	// replica first saw it. The time limit of the rollout of a whole service starts at
+	// that time.
+	firstSeen map[uint64]firstSight
 	// lock guards firstSeen.
 	lock   sync.Mutex
 	placer *placer
 }
 
+// firstSight is when and how a replica first saw a rollout.
+type firstSight struct {
+	// at is a time on the monotonic clock.
+	at time.Time
+	// open is true if the rollout was in progress.
+	open bool
+}
+
 // activeController is the controller of the rollout with the given epoch.
 type activeController struct {
 	epoch      uint64
@@ -50,7 +58,7 @@
 		log:         control.logs.Layer("rollout"),
 		timing:      rolloutTiming(control.settings.Rollout),
 		controllers: map[string]*activeController{},
-		firstSeen:   map[uint64]time.Time{},
+		firstSeen:   map[uint64]firstSight{},
 		placer:      newPlacer(),
 	}
 }
@@ -87,31 +95,50 @@
 	})
 }
 
-// recordFirstSeen records the current time for open rollouts that this replica
-// sees for the first time.
+// recordFirstSeen records the current time for rollouts that this replica sees for the
+// first time.
 func (rolloutManager *rolloutManager) recordFirstSeen() {
 	now := rolloutManager.control.now()
 	rolloutManager.lock.Lock()
 	defer rolloutManager.lock.Unlock()
-	for _, rollout := range rolloutManager.control.replica.config().OpenRollouts() {
+	for _, rollout := range rolloutManager.control.replica.config().Rollouts() {
 		if _, ok := rolloutManager.firstSeen[rollout.Epoch()]; !ok {
-			rolloutManager.firstSeen[rollout.Epoch()] = now
+			rolloutManager.firstSeen[rollout.Epoch()] = firstSight{at: now, open: !rollout.LatestStep().State.Ended()}
 		}
 	}
 }
 
 // resendWindow is the period after a rollout was first seen in which another
-// request with the same arguments counts as a resend of the request that started
-// it. Operators resend a request if they have received no response.
-const resendWindow = 30 * time.Second
+// request with the same arguments may be a resend of the request that started it.
+// Operators resend a request for up to 4 s if they have received no response, and an
+// attempt may take 1 s.
+const resendWindow = 5 * time.Second
+
+// resend tells whether an order repeats the one that started a rollout.
+type resend int
 
-// inResendWindow reports whether the rollout with the given epoch was first seen
-// less than resendWindow ago, so that its request may still be sent again.
-func (rolloutManager *rolloutManager) inResendWindow(epoch uint64) bool {
+const (
+	resendNo resend = iota
+	resendYes
+	// resendUnclear means that this replica has seen the rollout only after its end,
+	// for example because it has restarted, and that this was within resendWindow.
+	resendUnclear
+)
+
+// classifyOrder tells whether an order with the arguments of the rollout with the given
+// epoch, which has ended, is a resend.
+func (rolloutManager *rolloutManager) classifyOrder(epoch uint64) resend {
 	rolloutManager.lock.Lock()
 	defer rolloutManager.lock.Unlock()
-	at, ok := rolloutManager.firstSeen[epoch]
-	return ok && rolloutManager.control.now().Sub(at) < resendWindow
+	sight, ok := rolloutManager.firstSeen[epoch]
+	switch {
+	case ok && rolloutManager.control.now().Sub(sight.at) >= resendWindow:
+		return resendNo
+	case ok && sight.open:
+		return resendYes
+	default:
+		return resendUnclear
+	}
 }
 
 // deadline returns the deadline of the rollout of a whole service on the clock of
@@ -119,7 +146,7 @@
 func (rolloutManager *rolloutManager) deadline(rollout rsrc.Rollout) time.Time {
 	rolloutManager.lock.Lock()
 	defer rolloutManager.lock.Unlock()
-	return rolloutManager.firstSeen[rollout.Epoch()].Add(rollout.TimeLimit())
+	return rolloutManager.firstSeen[rollout.Epoch()].at.Add(rollout.TimeLimit())
 }
 
 // decideAll lets the controller of each open rollout decide, based on the
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -95,7 +95,7 @@
 	for _, key := range command.Remove {
 		change.Remove = append(change.Remove, key.Domain())
 	}
-	store.removeObsoleteRollouts(&change)
+	RemoveObsoleteRollouts(store.config, &change)
 	config, err := store.config.Apply(index, change)
 	if err != nil {
 		return errorResult(err)
@@ -135,20 +135,20 @@
 // not modify the slice.
 func (store *Store) History() []wire.HistoryEntry { return store.history }
 
-// removeObsoleteRollouts extends a change so that it also removes the rollouts of
-// removed routes and services. A route's rollout that is still in progress is kept,
+// RemoveObsoleteRollouts extends a change of a configuration so that it also removes the
+// rollouts of removed routes and services. A route's rollout that is still in progress is kept,
 // so that the change is rejected, because the rollout needs its route. A service's
 // rollout is removed even if it is in progress.
-func (store *Store) removeObsoleteRollouts(change *rsrc.Change) {
+func RemoveObsoleteRollouts(config *rsrc.Config, change *rsrc.Change) {
 	for _, key := range change.Remove {
 		var rollout rsrc.Rollout
 		ok := false
 		switch key.Kind() {
 		case rsrc.KindRoute:
-			rollout, ok = store.config.Rollout(key.Name())
+			rollout, ok = config.Rollout(key.Name())
 			ok = ok && rollout.LatestStep().State.Ended()
 		case rsrc.KindService:
-			rollout, ok = store.config.ServiceRollout(key.Name())
+			rollout, ok = config.ServiceRollout(key.Name())
 		}
 		if ok && !slices.Contains(change.Remove, rollout.Key()) {
 			change.Remove = append(change.Remove, rollout.Key())
--- a/pkg/rsrc/config.go
+++ b/pkg/rsrc/config.go
@@ -138,16 +138,22 @@
 	return lookup[Rollout](config, ServiceRolloutKey(service))
 }
 
-// OpenRollouts returns the rollouts that have not ended, sorted by key.
-func (config *Config) OpenRollouts() []Rollout {
-	var open []Rollout
+// Rollouts returns the latest rollout of each route and service that has one, sorted by
+// key.
+func (config *Config) Rollouts() []Rollout {
+	var rollouts []Rollout
 	for _, resource := range config.resources {
-		if rollout, ok := resource.(Rollout); ok && !rollout.LatestStep().State.Ended() {
-			open = append(open, rollout)
+		if rollout, ok := resource.(Rollout); ok {
+			rollouts = append(rollouts, rollout)
 		}
 	}
-	slices.SortFunc(open, func(a, b Rollout) int { return strings.Compare(a.Subject(), b.Subject()) })
-	return open
+	slices.SortFunc(rollouts, func(a, b Rollout) int { return strings.Compare(a.Subject(), b.Subject()) })
+	return rollouts
+}
+
+// OpenRollouts returns the rollouts that have not ended, sorted by key.
+func (config *Config) OpenRollouts() []Rollout {
+	return slices.DeleteFunc(config.Rollouts(), func(rollout Rollout) bool { return rollout.LatestStep().State.Ended() })
 }
 
 // Edition returns the edition that was set by the last replacement of the whole
