rsrc: hosts of routes match in any case

Callers saw: 404 for all requests to a route whose host has a capital letter (review).

Cause: the host of a request is compared in lower case, that of the route as written.

Change: routes are indexed by the lower-case host; two routes whose hosts differ in case only are the same host and prefix. The host is read back as it was written.

--- a/pkg/rsrc/config.go
+++ b/pkg/rsrc/config.go
@@ -20,7 +20,7 @@
 	Revision uint64
 }
 
-// hostAndPrefix holds the host and the path prefix of a route.
+// hostAndPrefix holds the host, in lower case, and the path prefix of a route.
 type hostAndPrefix struct{ host, prefix string }
 
 // Config is a complete configuration: it contains every resource that its
@@ -37,8 +37,8 @@
 	// routes is sorted by decreasing prefix length, so that the first match is
 	// the most specific.
 	routes []Route
-	// byHost holds the routes of each host, in the same order. Routes for any
-	// host are stored under the empty host.
+	// byHost holds the routes of each host, in the same order. Hosts are in lower case.
+	// Routes for any host are stored under the empty host.
 	byHost map[string][]Route
 	// routesByHostPrefix maps a host and prefix to the name of the first route
 	// with them.
@@ -112,7 +112,7 @@
 	return lookup[Version](config, VersionKey(service, name))
 }
 
-// Match returns the most specific route for a host and path. Routes for the
+// Match returns the most specific route for a host, in lower case, and path. Routes for the
 // given host take precedence over routes for any host.
 func (config *Config) Match(host, path string) (Route, bool) {
 	for _, route := range config.byHost[host] {
@@ -129,7 +129,7 @@
 // duplicateRoute returns the name of another route with the same host and
 // prefix.
 func (config *Config) duplicateRoute(route Route) (string, bool) {
-	other := config.routesByHostPrefix[hostAndPrefix{route.Host(), route.prefix}]
+	other := config.routesByHostPrefix[hostAndPrefix{strings.ToLower(route.Host()), route.prefix}]
 	return other, other != "" && other != route.name
 }
 
@@ -252,8 +252,9 @@
 	config.byHost = map[string][]Route{}
 	config.routesByHostPrefix = make(map[hostAndPrefix]string, len(config.routes))
 	for _, route := range config.routes {
-		config.byHost[route.Host()] = append(config.byHost[route.Host()], route)
-		match := hostAndPrefix{route.Host(), route.prefix}
+		host := strings.ToLower(route.Host())
+		config.byHost[host] = append(config.byHost[host], route)
+		match := hostAndPrefix{host, route.prefix}
 		if config.routesByHostPrefix[match] == "" {
 			config.routesByHostPrefix[match] = route.name
 		}
--- a/pkg/rsrc/rsrc_test.go
+++ b/pkg/rsrc/rsrc_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// TestHostsMatchInAnyCase guards against a route that gets no calls because its host is
+// written with capitals, and against two routes whose hosts differ in that only.
+func TestHostsMatchInAnyCase(t *testing.T) {
+	route := func(name, host string) Route {
+		return NewRoute(name, "s", "/h", "v1", 0).WithOptions(RouteOptions{Host: host})
+	}
+	config, err := baseConfig(t).Apply(6, Change{Put: []Resource{route("capitals", "H.Example")}})
+	require.NoError(t, err)
+	matched, ok := config.Match("h.example", "/h/x")
+	require.True(t, ok)
+	require.Equal(t, "H.Example", matched.Host())
+	_, err = config.Apply(7, Change{Put: []Resource{route("small", "h.example")}})
+	require.ErrorContains(t, err, "same host and prefix")
+}
+
 // TestDeltaFromAnyVersionGivesTheSameConfig applies random changes and removals
 // and checks that one delta leads from any older version to the same
 // configuration.
