node: a gate admits every head that an entry node admits

Callers saw: 431 for a head of 16,220 bytes under a limit of 16,384 (review).

Cause: the entry node adds its headers, and the gate applied a limit of its own, whatever the configuration says.

Change: the limit of the gate is that of callers and space for the headers between nodes.

--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/front"
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
@@ -242,3 +244,35 @@
 		require.GreaterOrEqual(t, time.Since(begun), 900*time.Millisecond)
 	}
 }
+
+// TestLargestHeadReachesTheUpstream guards against a call whose head is within the limit of
+// the configuration and is refused by the gate, because of the headers that the entry node
+// has added.
+func TestLargestHeadReachesTheUpstream(t *testing.T) {
+	config := kindConfig(t)
+	entry, target := startNode(t, "n1", config), startNode(t, "n2", config)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	defer func() {
+		require.NoError(t, server.Close())
+		<-ended
+	}()
+	announce(t, target, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: listener.Addr().String()})
+	introduce(t, entry, target)
+	for size, want := range map[int]int{front.DefaultLimits().MaxHeader: http.StatusOK, front.DefaultLimits().MaxHeader + 1: http.StatusRequestHeaderFieldsTooLarge} {
+		conn, err := net.Dial("tcp", entry.settings.Callers)
+		require.NoError(t, err)
+		head := "GET /again/x HTTP/1.1\r\nHost: h.example\r\nX: "
+		const end = "\r\n\r\n"
+		_, err = io.WriteString(conn, head+strings.Repeat("x", size-len(head)-len(end))+end)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, want, response.StatusCode, size)
+		require.NoError(t, conn.Close())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/distr"
-	"github.com/vanillapulley/vanillapulley/internal/front"
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/link"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
@@ -255,7 +254,7 @@
 	node.registerGauges()
 	group := tasks.New(9)
 	callers := node.newServer(node.serveCaller, node.limits, node.rejectCaller)
-	gates := node.newServer(node.gate.serve, front.DefaultLimits, node.gate.reject)
+	gates := node.newServer(node.gate.serve, node.gateLimits, node.gate.reject)
 	admin := &fasthttp.Server{Handler: node.serveAdmin, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, Logger: discardLogger{}}
 	group.Go(background, "tree", func(ctx context.Context) error { return node.tree.Run(ctx, opened.link) })
 	group.Go(background, "bookkeeping", node.runBookkeeping)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -69,6 +69,18 @@
 	return limits
 }
 
+// gateHeaderReserve is the space for the headers that an entry node adds to a request.
+const gateHeaderReserve = 4 << 10
+
+// gateLimits returns the limits on the requests of entry nodes. They admit whatever an
+// entry node has admitted.
+func (node *Node) gateLimits() front.Limits {
+	limits, callers := front.DefaultLimits(), node.limits()
+	limits.MaxHeader = max(limits.MaxHeader, callers.MaxHeader) + gateHeaderReserve
+	limits.MaxBody = max(limits.MaxBody, callers.MaxBody)
+	return limits
+}
+
 // override replaces a default value by the configured value if there is one.
 func override[T int | time.Duration](value *T, configured T) {
 	if configured > 0 {
