front: a body that the configuration allows is not refused with 413

Cause: the memory for bodies of the VM replaced the configured limit.

Ruled out: streaming, which the retry of a call to another target does not allow.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -197,7 +197,7 @@
 			// send it again.
 			return false
 		}
-		limits := conn.server.limits()
+		limits := conn.server.deps.Limits()
 		err := conn.awaitRequest(limits)
 		if errors.Is(err, errDraining) {
 			return false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,14 +113,6 @@
 	})
 }
 
-// limits returns the limits in force. A body that is too large for the budget can
-// never be read, so MaxBody is at most its largest body.
-func (server *Server) limits() Limits {
-	limits := server.deps.Limits()
-	limits.MaxBody = min(limits.MaxBody, server.deps.Memory.MaxBody())
-	return limits
-}
-
 // Active returns the number of requests whose handler is queued or running.
 func (server *Server) Active() int { return int(server.active.Load()) }
 
