proxy, accept: descriptors do not run out by themselves, and the daemons outlive it

Operators saw: nothing; read in the review.

Cause: idle connections were closed only when a call to the same address found them too old; link.Serve returned every error of Accept and so ended the process.

Change: idle connections that are too old are closed every 2 s. All listeners are wrapped (internal/accept): they wait while descriptors lack, and log the start and the end.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/accept"
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/disk"
 	"github.com/vanillapulley/vanillapulley/internal/distr"
@@ -173,7 +174,10 @@
 	if err := control.open(ctx); err != nil {
 		return errors.Join(err, linkListener.Close(), apiListener.Close())
 	}
-	return control.serve(ctx, linkListener, apiListeners)
+	for i, listener := range apiListeners {
+		apiListeners[i] = accept.Wrap(listener, control.log)
+	}
+	return control.serve(ctx, accept.Wrap(linkListener, control.log), apiListeners)
 }
 
 // linkOptions returns the options for connections between processes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	// bookkeepingInterval is the interval at which targets, leases and
 	// deadlines are checked.
 	bookkeepingInterval = 50 * time.Millisecond
+	// idleCloseInterval is the interval at which outdated connections are closed.
+	idleCloseInterval = 2 * time.Second
 	// callPoolSize limits the calls in progress on one node, as entry node and
 	// as gate together.
 	callPoolSize = 4096
@@ -168,6 +170,9 @@
 	// membershipVersion is the version of the membership last passed to the
 	// picker. Only the bookkeeping task uses it.
 	membershipVersion uint64
+	// nextClose is when outdated connections are closed next. Only the bookkeeping task
+	// uses it.
+	nextClose time.Time
 }
 
 // New returns a node that is not running yet.
@@ -304,9 +309,21 @@
 		}
 		node.gate.expire()
 		node.gate.logLimit(node.now())
+		node.closeIdleConns()
 	})
 }
 
+// closeIdleConns closes outdated connections from time to time. Only the bookkeeping task
+// calls it.
+func (node *Node) closeIdleConns() {
+	if node.now().Before(node.nextClose) {
+		return
+	}
+	node.nextClose = node.now().Add(idleCloseInterval)
+	node.gatePools.CloseIdle()
+	node.upstreamPools.CloseIdle()
+}
+
 func (node *Node) updateTargets() {
 	records, version, changed := node.tree.RecordsIfChanged(node.membershipVersion)
 	if node.reloaded.Swap(false) && !changed {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/accept"
 	"github.com/vanillapulley/vanillapulley/internal/config"
 	"github.com/vanillapulley/vanillapulley/internal/front"
 )
@@ -33,7 +34,7 @@
 		if failure != nil {
 			err = &config.Error{Key: key, Reason: failure.Error()}
 		}
-		return listener
+		return accept.Wrap(listener, node.log)
 	}
 	opened.link = open("link", cmp.Or(node.settings.ListenLink, node.settings.Link))
 	opened.callers = open("callers", node.settings.Callers)
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// CloseIdle closes the connections that have been idle for too long to be reused. Without
+// it, those to addresses that are gone would stay open.
+func (pools *Pools) CloseIdle() {
+	pools.lock.Lock()
+	entries := slices.Collect(maps.Values(pools.pools))
+	pools.lock.Unlock()
+	now := pools.now()
+	for _, entry := range entries {
+		for _, outdated := range entry.takeOutdated(now) {
+			_ = outdated.Close()
+		}
+	}
+}
+
+// takeOutdated removes the connections that have been idle for too long to be reused.
+func (pool *pool) takeOutdated(now time.Time) []*conn {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	var outdated []*conn
+	pool.idle = slices.DeleteFunc(pool.idle, func(candidate *conn) bool {
+		if now.Sub(candidate.idle) < candidate.maxIdleTime {
+			return false
+		}
+		outdated = append(outdated, candidate)
+		return true
+	})
+	return outdated
+}
+
 // take removes the topmost connection on which no request with this ID was sent from
 // the stack. It returns nil if there is none.
 func (pool *pool) take(id string) *conn {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -365,3 +365,32 @@
 	}
 	require.Len(t, pools.pool(address).idle, 3, "connections are reused by other calls")
 }
+
+// TestIdleConnsToAddressesThatAreGoneAreClosed guards against descriptors that grow with
+// the number of addresses ever used.
+func TestIdleConnsToAddressesThatAreGoneAreClosed(t *testing.T) {
+	var clock atomic.Int64
+	settings := DefaultSettings()
+	pools := New(settings, func() time.Time { return time.Unix(0, clock.Load()) })
+	peer := newPeer(t, func(conn net.Conn, _ string) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	idle := func() int {
+		pool := pools.pool(peer.address())
+		pool.lock.Lock()
+		defer pool.lock.Unlock()
+		return len(pool.idle)
+	}
+	_, err := get(t, pools, peer.address(), "/", time.Second)
+	require.NoError(t, err)
+	held := pools.pool(peer.address()).idle[0]
+	clock.Add(int64(settings.MaxIdleTime) - 1)
+	pools.CloseIdle()
+	require.Equal(t, 1, idle())
+	clock.Add(1)
+	pools.CloseIdle()
+	require.Zero(t, idle())
+	_, err = held.Write([]byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
