node: refusals of an upstream with a rate limit are no failures

Cause: a refusal by the upstream itself counted as a failure of the target for ejection, for the guard and for the canary analysis, also while the upstream states a rate limit. The gate's own refusals for the limit did not.

Change: such a refusal counts like one of the gate.

Figures: TestRefusalsOfALimitedUpstreamAreNoFailures fails before for the refusal by a limited upstream, and passes after; the other two cases pass in both.

--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/limit"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
 	"github.com/vanillapulley/vanillapulley/internal/picker"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
@@ -45,3 +47,39 @@
 	next := rollout.WithRevision(9).(rsrc.Rollout)
 	require.Equal(t, 50, node.guard.share(rsrc.RestoreRollout("r", "v1", "v2", next.Deadline(), 9, time.Time{}, next.Steps())), "the next rollout is not affected")
 }
+
+// TestRefusalsOfALimitedUpstreamAreNoFailures guards against a target that is ejected, or a
+// new version that is rolled back, because the target refuses calls above the rate limit
+// that it states.
+func TestRefusalsOfALimitedUpstreamAreNoFailures(t *testing.T) {
+	node, err := New(Deps{Settings: nodeSettings(t, "n1"), Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random})
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		reason     string
+		byUpstream bool
+		limited    bool
+		want       picker.Result
+		failed     bool
+	}{
+		"by a limited upstream":        {reason: "the upstream refused it", byUpstream: true, limited: true, want: picker.ResultRefused},
+		"by its gate, for the limit":   {reason: string(limit.ReasonRate), limited: true, want: picker.ResultRefused},
+		"by an upstream without limit": {reason: "the upstream refused it", byUpstream: true, want: picker.ResultFailed, failed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response := &fasthttp.Response{}
+			defaultDialect{}.LocalReply(response, LocalReply{Status: fasthttp.StatusServiceUnavailable, Outcome: proxy.OutcomeNotRun, Reason: c.reason})
+			if c.byUpstream {
+				response.Header.Set(proxy.HeaderTarget, "n2")
+			}
+			if c.limited {
+				response.Header.Set(proxy.HeaderLimit, "5")
+			}
+			classified := node.classify(t.Context(), nil, response)
+			require.Equal(t, c.want, classified.pickerResult)
+			for _, wholeService := range []bool{false, true} {
+				failed, counts := classifyForGuard(classified, wholeService)
+				require.Equal(t, c.failed, failed && counts, wholeService)
+			}
+		})
+	}
+}
--- a/internal/node/result.go
+++ b/internal/node/result.go
@@ -78,7 +78,8 @@
 		}
 	case proxy.OutcomeNotRun:
 		classified.pickerResult = picker.ResultRefused
-		if classified.mayHaveReachedUpstream {
+		// An upstream that limits its rate and refuses a call works as it should.
+		if _, limited := classified.statement.Limit.PerSecond(); classified.mayHaveReachedUpstream && !limited {
 			classified.pickerResult = picker.ResultFailed
 		}
 		switch limit.Reason(classified.reason) {
