soak: odd announcements, cut heads and forged headers

They are drawn from a source of random numbers of their own, so the other faults of a seed stay the same, and overlap with kills, pauses and cuts.

Not yet actions: foreign notices with an id, late and unmarked bytes and orders sent again over a change of leader, which need the platform's interface in the soak.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,6 +38,8 @@
 	client  *fasthttp.Client
 	// number is the number of the last call; it is part of the call's path.
 	number int
+	// sends is the number of requests so far.
+	sends atomic.Int64
 }
 
 func newCallers(fleet *fleet, history *history, seed uint64) *callers {
@@ -102,6 +105,9 @@
 	if key != "" {
 		request.Header.Set(proxy.HeaderIdempotencyKey, key)
 	}
+	if callers.sends.Add(1)%forgeryEvery == 0 {
+		forgeHeaders(request)
+	}
 	started := time.Now()
 	err := callers.client.DoTimeout(request, response, callTimeout+responseSlack)
 	if err != nil {
--- a/internal/soak/forward.go
+++ b/internal/soak/forward.go
@@ -22,8 +22,9 @@
 	dropIn  atomic.Bool
 	dropOut atomic.Bool
 	// endless replaces the next response on each connection by one that does not
-	// end until the connection is closed.
+	// end until the connection is closed. cut ends it in the middle of its head.
 	endless atomic.Bool
+	cut     atomic.Bool
 
 	// lock guards conns, the open connections on both sides.
 	lock   sync.Mutex
@@ -74,7 +75,7 @@
 	forwarder.track(server, true)
 	var copies sync.WaitGroup
 	copies.Go(func() { forwarder.copy(server, client, &forwarder.dropIn, nil) })
-	copies.Go(func() { forwarder.copy(client, server, &forwarder.dropOut, &forwarder.endless) })
+	copies.Go(func() { forwarder.copy(client, server, &forwarder.dropOut, forwarder.spoil) })
 	copies.Wait()
 	forwarder.track(client, false)
 	forwarder.track(server, false)
@@ -99,15 +100,14 @@
 // copy forwards the data of one direction. While drop is set, it reads and
 // discards all data, which simulates a network path that loses every packet.
 // Once bytes are missing from the stream, nothing more is forwarded in this
-// direction until the connection is closed. While endless is set, it forwards a
-// response without end in place of what it has read; endless may be nil.
-func (forwarder *forwarder) copy(destination, source net.Conn, drop, endless *atomic.Bool) {
+// direction until the connection is closed. If spoil, which may be nil, returns true, the
+// connection has ended.
+func (forwarder *forwarder) copy(destination, source net.Conn, drop *atomic.Bool, spoil func(destination net.Conn, response []byte) bool) {
 	buffer := make([]byte, bufferBytes)
 	dropped := false
 	for {
 		n, err := source.Read(buffer)
-		if n > 0 && endless != nil && endless.Load() {
-			sendEndlessly(destination)
+		if n > 0 && spoil != nil && spoil(destination, buffer[:n]) {
 			resetConn(source)
 			return
 		}
@@ -128,6 +128,24 @@
 	}
 }
 
+// spoil sends a faulty response in place of the given one, if a fault asks for it, and
+// reports whether it did.
+func (forwarder *forwarder) spoil(destination net.Conn, response []byte) bool {
+	switch {
+	case forwarder.endless.Load():
+		sendEndlessly(destination)
+	case forwarder.cut.Load():
+		_, _ = destination.Write(response[:min(len(response), cutBytes)])
+		_ = destination.Close()
+	default:
+		return false
+	}
+	return true
+}
+
+// cutBytes is where a response is cut off: after the first lines of its head.
+const cutBytes = 40
+
 // sendEndlessly sends a response without end until the connection is closed.
 func sendEndlessly(conn net.Conn) {
 	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,10 @@
 	faultReplace kind = "replace"
 	// faultEndless replaces the responses of an upstream by bodies without end.
 	faultEndless kind = "endless"
+	// faultCut ends the responses of an upstream in the middle of their heads.
+	faultCut kind = "cut"
+	// faultOdd sends odd announcements to a node.
+	faultOdd kind = "odd"
 	// faultLimit makes an upstream state a rate limit.
 	faultLimit kind = "limit"
 )
@@ -119,6 +123,7 @@
 		}
 	}
 	faults = append(faults, planLimits(seed, subjects[faultReplace], period)...)
+	faults = append(faults, planOddities(seed, subjects[faultReplace], period)...)
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
@@ -149,3 +154,22 @@
 	}
 	return limits
 }
+
+// maxOddities limits the faults that planOddities adds.
+const maxOddities = 3
+
+// planOddities draws faults of upstreams that send odd data from a source of random
+// numbers of its own, so that the other faults of a seed stay the same.
+func planOddities(seed uint64, upstreams []string, period time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 5))
+	var oddities []fault
+	for range 1 + random.IntN(maxOddities) {
+		oddities = append(oddities, fault{
+			at:       time.Duration(random.Int64N(int64(period))),
+			kind:     []kind{faultCut, faultOdd}[random.IntN(2)],
+			subject:  upstreams[random.IntN(len(upstreams))],
+			duration: minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration))),
+		})
+	}
+	return oddities
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -209,6 +209,12 @@
 		time.Sleep(fault.duration)
 		forwarder.endless.Store(false)
 		process.checkMemory(history)
+	case faultCut:
+		forwarder.cut.Store(true)
+		time.Sleep(fault.duration)
+		forwarder.cut.Store(false)
+	case faultOdd:
+		fleet.sendOddities(owner, fault.duration, history)
 	case faultLimit:
 		check := &fleet.upstreams[fault.subject].limitCheck
 		check.state(fault.perSecond)
