proxy: a response without a valid status line is an error

Cause: fasthttp uses status 0 for "not set" and reports it as 200. It also reads 001 to 099 as interim responses, so that the bytes behind them became the answer, passes on 600 to 999, skips empty lines before the status line and accepts any version, several blanks and control characters in that line. The node itself delivered 101, although it never asks for another protocol, with the bytes of that protocol as the body.

Nodes now check the status line before fasthttp parses the section: version 1.0 to 1.9, one blank, a status from 100 to 599 other than 101. It is the one place through which answers of targets, of the health path and of other nodes are read. The caller gets 502 with an unknown outcome and the reason, only a repeatable call is sent again, and the connection is closed.

TestMalformedAnswersReachNobody (own node and over a link) got 200 in place of 502 before.

TestEndlessPartsEndEarly expected "the connection ended" of a target that sends empty lines without end; the connection had not ended. The test now expects the true reason, and is as strict.

--- /dev/null
+++ b/internal/node/malformed_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillapulley/vanillapulley/internal/lease"
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
+)
+
+// malformedAnswers are answers of upstreams that are not HTTP/1.1, by the reason that callers
+// get.
+var malformedAnswers = map[string]string{
+	"its status is not a number from 100 to 599": "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// TestMalformedAnswersReachNobody guards against a malformed answer that reaches a caller as
+// an answer, through the node beside the upstream or through another one. The caller is told
+// that the call may have run, only a repeatable call is sent again, and no connection is used
+// after such an answer.
+func TestMalformedAnswersReachNobody(t *testing.T) {
+	for reason, answer := range malformedAnswers {
+		for _, c := range []struct {
+			path string
+			runs int64
+		}{{"/once/x", 1}, {"/again/x", 2}} {
+			t.Run(reason+c.path, func(t *testing.T) {
+				beside, remote := startNode(t, "n1", kindConfig(t)), startNode(t, "n2", kindConfig(t))
+				address, runs, conns := startRawUpstream(t, answer)
+				announce(t, beside, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: address})
+				introduce(t, remote, beside)
+				for i, node := range []*Node{beside, remote} {
+					response := call(t, node, c.path)
+					require.Equal(t, http.StatusBadGateway, response.StatusCode())
+					require.Equal(t, string(proxy.OutcomeUnknown), string(response.Header.Peek(proxy.HeaderOutcome)))
+					require.Contains(t, string(response.Body()), "the answer is malformed: "+reason)
+					require.Equal(t, c.runs*int64(i+1), runs.Load())
+					require.Equal(t, runs.Load(), conns.Load())
+				}
+			})
+		}
+	}
+}
+
+// startRawUpstream starts an upstream that sends the same bytes to each request. It counts its
+// requests and its connections.
+func startRawUpstream(t *testing.T, answer string) (address string, runs, conns *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	runs, conns = &atomic.Int64{}, &atomic.Int64{}
+	go acceptAll(listener, func(conn net.Conn, _ *fasthttp.Request, known *string) {
+		if *known == "" {
+			*known = "known"
+			conns.Add(1)
+		}
+		runs.Add(1)
+		_, _ = io.WriteString(conn, answer)
+	})
+	return listener.Addr().String(), runs, conns
+}
+
+// call sends a call to a node and returns the response.
+func call(t *testing.T, node *Node, path string) *fasthttp.Response {
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.SetRequestURI("http://" + node.settings.Callers + path)
+	request.Header.SetHost("h.example")
+	request.UseHostHeader = true
+	require.NoError(t, (&fasthttp.HostClient{Addr: node.settings.Callers}).Do(request, response))
+	return response
+}
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -35,7 +35,7 @@
 		"extensions":               {chunkedHead, "1;" + strings.Repeat("y", 100) + "\r\nz\r\n", "the answer is malformed"},
 		"trailer lines":            {chunkedHead + "0\r\n", fillerLine, "the head of the answer is too large"},
 		"trailer line":             {chunkedHead + "0\r\nX-Filler: ", "y", "the head of the answer is too large"},
-		"empty lines before it":    {"", "\r\n", "the connection ended"},
+		"empty lines before it":    {"", "\r\n", errStatusLine.Error()},
 		"a first line without end": {"HTTP/1.1 200 ", "y", "the head of the answer is too large"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -154,8 +154,7 @@
 	lengthChunked    = -1
 )
 
-// readResponse skips informational (1xx) responses, except 101, and reads the
-// response that follows. The body must be delimited by a content length, by
+// readResponse skips informational (1xx) responses and reads the response that follows. The body must be delimited by a content length, by
 // chunked encoding or, if the settings allow it, by the close of the connection.
 // Its memory is charged to the hold, which may be nil.
 func (conn *conn) readResponse(hold *bufmem.Hold, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
@@ -163,13 +162,13 @@
 	conn.body = nil
 	for {
 		before := conn.consumed()
-		reader, err := ReadHeader(&response.Header, conn.reader, conn, hold, settings.MaxHeader)
+		reader, err := ReadHeader(responseHead{&response.Header}, conn.reader, conn, hold, settings.MaxHeader)
 		conn.reader = reader
 		if err != nil {
 			return err
 		}
 		code := response.StatusCode()
-		if code >= 200 || code == fasthttp.StatusSwitchingProtocols {
+		if code >= fasthttp.StatusOK {
 			break
 		}
 		if code == fasthttp.StatusContinue && conn.held != nil && conn.held.allow(response.Header.Peek(HeaderCredit), len(request.Body())) {
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -18,12 +18,15 @@
 func (err *ExchangeError) Reason() string {
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var stopped *StopError
+	var malformed *FormatError
 	var netErr net.Error
 	switch cause := err.Err; {
 	case errors.As(cause, &stopped):
 		return stopped.Error()
 	case errors.Is(cause, ErrCallerDisconnected), errors.Is(cause, ErrUnframed), errors.Is(cause, ErrMismatch), errors.Is(cause, ErrInterim):
 		return cause.Error()
+	case errors.As(cause, &malformed):
+		return malformed.Error()
 	case errors.Is(cause, bufmem.ErrExhausted):
 		return bufmem.ErrExhausted.Error()
 	case errors.Is(cause, fasthttp.ErrBodyTooLarge):
