proxy: a response with a malformed field line is an error

Cause: fasthttp accepts blanks in names and removes those before the colon, and joins a line that begins with a blank or a tab to the value of the previous one.

Each field line of a head, also of an interim one, must be a token, a colon and a value without control characters. Folded lines are refused, which RFC 9112 (5.2) allows.

TestMalformedAnswersReachNobody got 200 in place of 502 before. Control characters in names and values were an error before, without a reason; their tests stay.

--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -14,10 +16,12 @@
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 )
 
-// malformedAnswers are answers of upstreams that are not HTTP/1.1, by the reason that callers
+// malformedAnswers are answers of upstreams that are not HTTP/1.1, with the reason that callers
 // get.
-var malformedAnswers = map[string]string{
-	"its status is not a number from 100 to 599": "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+var malformedAnswers = []struct{ reason, answer string }{
+	{"its status is not a number from 100 to 599", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"},
+	{"the name of a field is not a token", "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok"},
+	{"the name of a field is not a token", "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 }
 
 // TestMalformedAnswersReachNobody guards against a malformed answer that reaches a caller as
@@ -25,21 +29,21 @@
 // that the call may have run, only a repeatable call is sent again, and no connection is used
 // after such an answer.
 func TestMalformedAnswersReachNobody(t *testing.T) {
-	for reason, answer := range malformedAnswers {
+	for i, malformed := range malformedAnswers {
 		for _, c := range []struct {
 			path string
 			runs int64
 		}{{"/once/x", 1}, {"/again/x", 2}} {
-			t.Run(reason+c.path, func(t *testing.T) {
+			t.Run(fmt.Sprint(i, c.path), func(t *testing.T) {
 				beside, remote := startNode(t, "n1", kindConfig(t)), startNode(t, "n2", kindConfig(t))
-				address, runs, conns := startRawUpstream(t, answer)
+				address, runs, conns := startRawUpstream(t, malformed.answer)
 				announce(t, beside, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: address})
 				introduce(t, remote, beside)
 				for i, node := range []*Node{beside, remote} {
 					response := call(t, node, c.path)
 					require.Equal(t, http.StatusBadGateway, response.StatusCode())
 					require.Equal(t, string(proxy.OutcomeUnknown), string(response.Header.Peek(proxy.HeaderOutcome)))
-					require.Contains(t, string(response.Body()), "the answer is malformed: "+reason)
+					require.Contains(t, string(response.Body()), "the answer is malformed: "+malformed.reason)
 					require.Equal(t, c.runs*int64(i+1), runs.Load())
 					require.Equal(t, runs.Load(), conns.Load())
 				}
@@ -48,8 +52,8 @@
 	}
 }
 
-// startRawUpstream starts an upstream that sends the same bytes to each request. It counts its
-// requests and its connections.
+// startRawUpstream starts an upstream that sends the same bytes to each request and closes the
+// connection if they say so. It counts its requests and its connections.
 func startRawUpstream(t *testing.T, answer string) (address string, runs, conns *atomic.Int64) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -62,6 +66,9 @@
 		}
 		runs.Add(1)
 		_, _ = io.WriteString(conn, answer)
+		if strings.Contains(answer, "Connection: close") {
+			_ = conn.Close()
+		}
 	})
 	return listener.Addr().String(), runs, conns
 }
--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -23,6 +24,9 @@
 	errStatus     = &FormatError{"its status is not a number from 100 to 599"}
 	errUpgrade    = &FormatError{"it switches to a protocol that was not asked for"}
 	errLineEnd    = &FormatError{"a line of its head does not end in CR LF"}
+	errFolded     = &FormatError{"a line of its head is folded"}
+	errFieldName  = &FormatError{"the name of a field is not a token"}
+	errFieldValue = &FormatError{"the value of a field holds a control character"}
 )
 
 // responseHead reads the header section of a response. fasthttp alone accepts sections that
@@ -47,7 +51,8 @@
 			first = false
 			return checkStatusLine(line)
 		}
-		return nil
+		_, err := splitField(line)
+		return err
 	})
 }
 
@@ -109,6 +114,32 @@
 	return nil
 }
 
+// splitField returns the name of a field. It refuses what fasthttp makes another field of, or
+// a part of the value of the previous one: a message whose length is in such a line would be
+// delimited differently.
+func splitField(line []byte) (name []byte, err error) {
+	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+		return nil, errFolded
+	}
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) {
+		return nil, errFieldName
+	}
+	if !isText(value) {
+		return nil, errFieldValue
+	}
+	return name, nil
+}
+
+func isToken(text []byte) bool {
+	for _, char := range text {
+		if !isDigit(char) && !('a' <= char|0x20 && char|0x20 <= 'z') && strings.IndexByte("!#$%&'*+-.^_`|~", char) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 func isDigit(char byte) bool { return '0' <= char && char <= '9' }
 
 // isText reports whether a reason phrase or the value of a field has no control character
