proxy: a response whose length is ambiguous is an error

Cause: fasthttp ignores Transfer-Encoding if the version is not 1.1, and then takes the chunks for a body without a length; it takes a transfer coding beside a length for the valid one; and it accepts blanks in the names of trailer fields, so that a line there can belong to the next response.

Responses with a length and a transfer coding, and with a transfer coding in another version than 1.1, are refused (RFC 9112, 6.1 and 6.3). Trailer fields are checked like those of a head before they are dropped. Lengths and codings that fasthttp refused already now have a reason that names them.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -214,6 +214,9 @@
 	switch length {
 	case lengthChunked:
 		err = conn.body.ReadChunks()
+		if err == nil {
+			err = checkTrailer(conn.reader)
+		}
 		if err == nil {
 			err = DiscardTrailer(conn.reader)
 		}
--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -23,9 +23,13 @@
 	errStatusLine = &FormatError{"its first line is not a status line"}
 	errStatus     = &FormatError{"its status is not a number from 100 to 599"}
 	errUpgrade    = &FormatError{"it switches to a protocol that was not asked for"}
-	errLineEnd    = &FormatError{"a line of its head does not end in CR LF"}
-	errFolded     = &FormatError{"a line of its head is folded"}
+	errLineEnd    = &FormatError{"a line does not end in CR LF"}
+	errFolded     = &FormatError{"a line is folded"}
 	errFieldName  = &FormatError{"the name of a field is not a token"}
+	errLength     = &FormatError{"its length is not a number"}
+	errCoding     = &FormatError{"its transfer coding is not chunked"}
+	errOldCoding  = &FormatError{"it has a transfer coding that its version of HTTP lacks"}
+	errFraming    = &FormatError{"the length of its body is stated more than once"}
 	errFieldValue = &FormatError{"the value of a field holds a control character"}
 )
 
@@ -45,22 +49,72 @@
 
 // checkHead checks the header section of a response without consuming it.
 func checkHead(reader *bufio.Reader) error {
-	first := true
-	return checkLines(reader, func(line []byte) error {
-		if first {
-			first = false
-			return checkStatusLine(line)
+	var check headCheck
+	return checkLines(reader, check.line)
+}
+
+// headCheck is the state of checkHead.
+type headCheck struct {
+	// status is true once the status line was checked, and http11 if its version is 1.1.
+	status, http11 bool
+	// lengths and codings count the fields that delimit the body.
+	lengths, codings int
+}
+
+// line checks one line and reports whether it ends the section.
+func (check *headCheck) line(line []byte) (end bool, err error) {
+	switch {
+	case !check.status:
+		check.status, check.http11 = true, bytes.HasPrefix(line, []byte("HTTP/1.1 "))
+		return false, checkStatusLine(line)
+	case len(line) == 0:
+		return true, check.framing()
+	}
+	name, value, err := splitField(line)
+	if err != nil {
+		return false, err
+	}
+	if bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) {
+		check.lengths++
+		if !isLength(value) {
+			return false, errLength
 		}
-		_, err := splitField(line)
-		return err
+	}
+	if bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+		check.codings++
+		if !bytes.EqualFold(value, []byte("chunked")) {
+			return false, errCoding
+		}
+	}
+	return false, nil
+}
+
+// framing refuses a body that another reader could delimit differently.
+func (check *headCheck) framing() error {
+	switch {
+	case check.lengths+check.codings > 1:
+		return errFraming
+	case check.codings > 0 && !check.http11:
+		return errOldCoding
+	}
+	return nil
+}
+
+// checkTrailer checks the trailer section of a response without consuming it.
+func checkTrailer(reader *bufio.Reader) error {
+	return checkLines(reader, func(line []byte) (end bool, err error) {
+		if len(line) == 0 {
+			return true, nil
+		}
+		_, _, err = splitField(line)
+		return false, err
 	})
 }
 
-// checkLines calls a function for each line of a section, without its CR LF, as soon as the
-// line has arrived. It consumes nothing. The section ends with an empty line after the first
-// one; the function gets only the lines before. If the section does not fit into the buffer of
-// the reader, checkLines returns nil.
-func checkLines(reader *bufio.Reader, check func(line []byte) error) error {
+// checkLines calls a function for each line, without its CR LF, as soon as the line has
+// arrived, until the function reports the end of the section or an error. It consumes nothing.
+// If the section does not fit into the buffer of the reader, it returns nil.
+func checkLines(reader *bufio.Reader, check func(line []byte) (end bool, err error)) error {
 	for checked := 0; ; {
 		arrived, err := reader.Peek(reader.Buffered())
 		if err != nil {
@@ -75,10 +129,7 @@
 			if !ok {
 				return errLineEnd
 			}
-			if len(line) == 0 && checked > 0 {
-				return nil
-			}
-			if err := check(line); err != nil {
+			if end, err := check(line); end || err != nil {
 				return err
 			}
 			checked += length + 1
@@ -114,21 +165,33 @@
 	return nil
 }
 
-// splitField returns the name of a field. It refuses what fasthttp makes another field of, or
+// splitField returns the name and the value of a field. It refuses what fasthttp makes another field of, or
 // a part of the value of the previous one: a message whose length is in such a line would be
 // delimited differently.
-func splitField(line []byte) (name []byte, err error) {
+func splitField(line []byte) (name, value []byte, err error) {
 	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-		return nil, errFolded
+		return nil, nil, errFolded
 	}
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !isToken(name) {
-		return nil, errFieldName
+		return nil, nil, errFieldName
 	}
 	if !isText(value) {
-		return nil, errFieldValue
+		return nil, nil, errFieldValue
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// maxLengthDigits keeps a length within the range of int.
+const maxLengthDigits = 18
+
+func isLength(text []byte) bool {
+	for _, char := range text {
+		if !isDigit(char) {
+			return false
+		}
 	}
-	return name, nil
+	return len(text) > 0 && len(text) <= maxLengthDigits
 }
 
 func isToken(text []byte) bool {
