proxy: a reset that the write of the request takes does not end a body

Cause: a body without a length ends with the connection, and the kernel reports the error of a reset to the next read or write only. If the goroutine that writes the upload gets it, the read of the response finds an ordinary end.

At the end of such a body, the exchange now ends the write by a deadline in the past and waits for it. If the write has met an error, the body has no proven end, and the exchange fails with that error. Ruled out: waiting for the upload to be written to the end, which would hold or lose whole answers of targets that do not read on.

The caller gets 502 with an unknown outcome; an upload is not sent again.

--- a/internal/node/call_test.go
+++ b/internal/node/call_test.go
@@ -68,10 +68,13 @@
 
 // kindConfig returns a configuration with an idempotent, a non-idempotent and an
 // upload route.
-func kindConfig(t *testing.T) *rsrc.Config {
+func kindConfig(t *testing.T) *rsrc.Config { return kindConfigWithin(t, time.Second) }
+
+// kindConfigWithin is like kindConfig, with the given timeout of the routes.
+func kindConfigWithin(t *testing.T, timeout time.Duration) *rsrc.Config {
 	route := func(name string, kind rsrc.CallKind) rsrc.Route {
 		options := rsrc.RouteOptions{Host: "h.example", Kind: kind, MaxAttempts: 2}
-		return rsrc.NewRoute(name, "s", "/"+name+"/", "", time.Second).WithOptions(options)
+		return rsrc.NewRoute(name, "s", "/"+name+"/", "", timeout).WithOptions(options)
 	}
 	config, err := rsrc.EmptyConfig().Apply(1, rsrc.Change{Put: []rsrc.Resource{
 		rsrc.NewService("s", ""),
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -13,11 +13,6 @@
 	"github.com/vanillapulley/vanillapulley/internal/bufmem"
 )
 
-// maxInlineBodyBytes is the largest request body that is written before the
-// response is read. A body of this size fits into the socket buffers, so that the
-// write cannot block on a peer that responds before it has read the request.
-const maxInlineBodyBytes = 4 << 10
-
 // maxMismatchedResponses is how many responses to earlier requests are skipped
 // before the matching one. Such a response can arrive after the connection was
 // checked for leftover data.
@@ -47,9 +42,9 @@
 	if announcesBody(request) {
 		conn.held = newHeldRequest(conn.Conn, pools.turns)
 	}
-	written := conn.writeRequest(request)
+	conn.startWrite(request)
 	err := pools.receiveMatching(ctx, conn, request, response)
-	if !conn.finishWrite(written, err) {
+	if !conn.finishWrite(err) {
 		// If the connection were reused, the peer could parse the rest of this
 		// request as the next request.
 		response.SetConnectionClose()
@@ -74,54 +69,6 @@
 	return nil
 }
 
-// writeRequest writes a request and sends the error of the write, or nil, to the
-// returned channel. A request whose body is larger than maxInlineBodyBytes is
-// written by a separate goroutine while the response is read, and so is one that
-// announces its body.
-func (conn *conn) writeRequest(request *fasthttp.Request) <-chan error {
-	written := make(chan error, 1)
-	if held := conn.held; held != nil {
-		go func() { written <- held.send(request) }()
-		return written
-	}
-	write := func() {
-		err := request.Write(conn.writer)
-		written <- errors.Join(err, conn.writer.Flush())
-	}
-	if len(request.Body()) <= maxInlineBodyBytes {
-		write()
-	} else {
-		go write()
-	}
-	return written
-}
-
-// finishWrite reports whether the response was read and the whole request, or all but a
-// body that the peer did not ask for, was written without an error. If reading the response failed or the write is still
-// in progress, it closes the connection, which ends the write, waits for the end
-// of the write and returns false.
-func (conn *conn) finishWrite(written <-chan error, readErr error) bool {
-	if held := conn.held; held != nil && !held.decided {
-		held.refuse()
-		if readErr == nil {
-			return errors.Is(<-written, errBodyNotWanted)
-		}
-	}
-	if readErr == nil {
-		select {
-		case err := <-written:
-			return err == nil
-		default:
-		}
-	}
-	_ = conn.Close()
-	if conn.held != nil {
-		conn.held.refuse()
-	}
-	<-written
-	return false
-}
-
 // receiveMatching reads responses until one belongs to the request. It skips up
 // to maxMismatchedResponses others and returns ErrMismatch if the next one does
 // not match either. It also returns ErrMismatch if a response that does not match
@@ -223,6 +170,9 @@
 	case lengthUntilClose:
 		response.SetConnectionClose()
 		err = conn.body.ReadUntilClose()
+		if err == nil {
+			err = conn.confirmEnd()
+		}
 		response.Header.SetContentLength(len(conn.body.Body()))
 	default:
 		if err = conn.body.Reserve(); err == nil {
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -94,6 +94,8 @@
 	// interim and interimBytes count the interim responses of the exchange in progress.
 	interim      int
 	interimBytes int64
+	// write is the write of the request in progress.
+	write requestWrite
 	// held is the request in progress if its body is announced, otherwise nil.
 	held *heldRequest
 	// idle is the time at which the connection was returned to the pool.
