proxy: a connection that ends because the node stops does not end a body

If an answer without a length was on its way, its part was delivered as a whole answer (TestStopIsNoEndOfABody, failed before).

Such an answer is now an error with the reason of the stop. One with a length that is complete is still delivered; the test plays it, too.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -75,7 +75,7 @@
 // announces the close of the connection.
 func (pools *Pools) receiveMatching(ctx context.Context, conn *conn, request *fasthttp.Request, response *fasthttp.Response) error {
 	for range maxMismatchedResponses + 1 {
-		if err := conn.readResponse(bufmem.FromContext(ctx), request, response, pools.settings); err != nil {
+		if err := conn.readResponse(ctx, request, response, pools.settings); err != nil {
 			conn.discardBody(response)
 			return err
 		}
@@ -101,10 +101,12 @@
 	lengthChunked    = -1
 )
 
-// readResponse skips informational (1xx) responses and reads the response that follows. The body must be delimited by a content length, by
-// chunked encoding or, if the settings allow it, by the close of the connection.
-// Its memory is charged to the hold, which may be nil.
-func (conn *conn) readResponse(hold *bufmem.Hold, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
+// readResponse skips informational (1xx) responses and reads the response that
+// follows. The body must be delimited by a content length, by chunked encoding or,
+// if the settings allow it, by the close of the connection. Its memory is charged
+// to the hold of the context, if there is one.
+func (conn *conn) readResponse(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, settings Settings) error {
+	hold := bufmem.FromContext(ctx)
 	response.SkipBody = request.Header.IsHead()
 	conn.body = nil
 	for {
@@ -143,7 +145,7 @@
 	if length >= 0 && length <= freeBody {
 		return response.ReadBody(conn.reader, settings.MaxBody)
 	}
-	return conn.readBody(hold, response, length, settings.MaxBody)
+	return conn.readBody(ctx, hold, response, length, settings.MaxBody)
 }
 
 // freeBody is the size up to which the body of a response takes nothing from the memory
@@ -152,7 +154,7 @@
 
 // readBody reads a body of unknown or large length. A known length is taken from the hold
 // at once and the buffer has exactly that size, so that no copy is made.
-func (conn *conn) readBody(hold *bufmem.Hold, response *fasthttp.Response, length, limit int) error {
+func (conn *conn) readBody(ctx context.Context, hold *bufmem.Hold, response *fasthttp.Response, length, limit int) error {
 	if length >= 0 {
 		limit = length
 	}
@@ -171,7 +173,7 @@
 		response.SetConnectionClose()
 		err = conn.body.ReadUntilClose()
 		if err == nil {
-			err = conn.confirmEnd()
+			err = conn.confirmEnd(ctx)
 		}
 		response.Header.SetContentLength(len(conn.body.Body()))
 	default:
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -53,3 +53,38 @@
 		})
 	}
 }
+
+// TestStopIsNoEndOfABody guards against the part of a body without a length that reaches the
+// caller as a whole one, because the stop of the node has made the upstream close the
+// connection. A body of known length that is complete is delivered.
+func TestStopIsNoEndOfABody(t *testing.T) {
+	for answer, whole := range map[string]bool{openAnswer: false, knownAnswer: true} {
+		t.Run(fmt.Sprint(whole), func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			peer := newPeer(t, func(conn net.Conn, _ string) bool {
+				cancel(&StopError{Until: time.Now().Add(farDeadline)})
+				if whole {
+					_, _ = io.WriteString(conn, answer)
+				} else {
+					_, _ = io.WriteString(conn, answer[:len(answer)-1])
+				}
+				// The connection ends when the node has closed its sending side.
+				_, _ = io.Copy(io.Discard, conn)
+				return false
+			})
+			var request fasthttp.Request
+			var response fasthttp.Response
+			request.SetRequestURI("http://h/")
+			err := closeDelimitedPools().Do(ctx, peer.address(), &request, &response)
+			if whole {
+				require.NoError(t, err)
+				require.Equal(t, "part", string(response.Body()))
+				return
+			}
+			require.True(t, maybeSent(t, err), "delivered %q", response.Body())
+			var exchangeError *ExchangeError
+			require.ErrorAs(t, err, &exchangeError)
+			require.Equal(t, (&StopError{}).Error(), exchangeError.Reason())
+		})
+	}
+}
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -81,7 +82,11 @@
 // confirmEnd ends the write of the request, after the end of the connection was read where a
 // body without a length may end. It returns an error if the write has met one: the kernel
 // reports a reset to one call only, and if the write gets it, the read finds an ordinary end.
-func (conn *conn) confirmEnd() error {
+// It also returns one if the process stops, because peers then end the connection early.
+func (conn *conn) confirmEnd(ctx context.Context) error {
+	if IsStopped(ctx) {
+		return context.Cause(ctx)
+	}
 	if conn.held != nil {
 		conn.held.refuse()
 	}
