sample: a free address is not held by a process that is being started

Cause: FreeAddress probes an address by listening and closing. A process that is forked in between has a copy of the socket until its program is executed, and the address stays taken for so long. The two parallel parts of the test start processes and choose addresses at the same time. Ruled out: another test process (blocks of ports are locked) and outgoing connections (their ports lie above).

FreeAddress now holds syscall.ForkLock while it probes.

--- a/internal/sample/ports.go
+++ b/internal/sample/ports.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -43,14 +44,21 @@
 		}
 		port := ports.blocks[ports.next/blockSize] + ports.next%blockSize
 		ports.next++
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = listener.Close()
-			return listener.Addr().String()
+		if address := fmt.Sprintf("127.0.0.1:%d", port); isFree(address) {
+			return address
 		}
 	}
 }
 
+// isFree reports whether an address can be bound. No process is started meanwhile: it would
+// hold a copy of the socket, and with it the address, until its program is executed.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	return err == nil && listener.Close() == nil
+}
+
 // takeBlock takes a block that no process has. It returns false if there is none, but
 // the process has other blocks. The lock must be held.
 func takeBlock() bool {
--- a/internal/sample/ports_test.go
+++ b/internal/sample/ports_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,3 +44,29 @@
 	}
 	require.Equal(t, count, printed)
 }
+
+// process that was being started has inherited the socket with which it was probed.
+func TestFreeAddressBesideNewProcesses(t *testing.T) {
+	program, err := exec.LookPath("true")
+	require.NoError(t, err)
+	stop, starts := make(chan struct{}), sync.WaitGroup{}
+	for range 4 {
+		starts.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command(program).Run()
+				}
+			}
+		})
+	}
+	defer starts.Wait()
+	defer close(stop)
+	for range 500 {
+		listener, err := net.Listen("tcp", FreeAddress())
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+	}
+}
