client: a malformed answer of a control VM is no answer

The client now reads answers through package proxy instead of the client of fasthttp. Without a valid answer a write is repeated, with the same request id, at the next control VM, and its result is unknown until then, as after a lost answer.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/proxy"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
@@ -57,16 +58,25 @@
 	retryDelay     = 200 * time.Millisecond
 )
 
+// maxConns limits the connections to one control VM, and maxAnswer the body of a response in
+// bytes. A full configuration has up to 64 MiB as operators send it, and more as it is read.
+const (
+	maxConns  = 64
+	maxAnswer = 256 << 20
+)
+
 // Client sends requests to one control plane. It is safe for concurrent use.
 type Client struct {
 	addresses []string
-	http      *fasthttp.Client
+	pools     *proxy.Pools
 }
 
 // New returns a client for the API addresses of the control VMs. There must be
 // at least one address.
 func New(addresses []string) *Client {
-	return &Client{addresses: addresses, http: &fasthttp.Client{MaxConnsPerHost: 64, NoDefaultUserAgentHeader: true}}
+	settings := proxy.DefaultSettings()
+	settings.MaxConns, settings.MaxBody, settings.AllowCloseDelimited = maxConns, maxAnswer, true
+	return &Client{addresses: addresses, pools: proxy.New(settings, time.Now)}
 }
 
 // Get sends a GET request for path and decodes the response into result. Like
@@ -154,11 +164,10 @@
 		request.Header.Set("Vp-Request-Content", identity.Content)
 	}
 	request.SetBody(body)
-	until := time.Now().Add(timeout)
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
-		until = deadline
-	}
-	if err := client.http.DoDeadline(request, response, until); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client.pools.CloseIdle()
+	if err := client.pools.Do(ctx, fasthttp.AddMissingPort(address, false), request, response); err != nil {
 		return err
 	}
 	if response.StatusCode() == fasthttp.StatusOK {
