sample, demo: a malformed answer of the node is no acknowledgement

The upstream of vpd upstream took status 000 for 200: it believed that its node had accepted an announcement and sent the next one only after a third of its lifetime (TestMalformedAnswerIsNoAcknowledgement, failed before). The callers of vpd demo read answers in the same way. Both now read them through package proxy.

--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -40,6 +40,7 @@
 	demoSendsPerOrder  = 3
 	demoFailPermille   = 300
 	demoTimeout        = 55 * time.Second
+	demoCallTimeout    = 6 * time.Second
 	demoRolloutWithin  = 40 * time.Second
 )
 
@@ -70,6 +71,7 @@
 	group           *tasks.Group
 	api             *client.Client
 	callerAddresses []string
+	calls           *proxy.Pools
 	upstreams       []*sample.Upstream
 	ran             atomic.Int64
 	notRan          atomic.Int64
@@ -78,7 +80,7 @@
 }
 
 func newDemo(out io.Writer, dir string) *demo {
-	return &demo{out: out, dir: dir, group: tasks.New(16)}
+	return &demo{out: out, dir: dir, group: tasks.New(16), calls: proxy.New(proxy.DefaultSettings(), time.Now)}
 }
 
 func (demo *demo) printf(format string, args ...any) {
@@ -275,7 +277,10 @@
 	if key != "" {
 		request.Header.Set(proxy.HeaderIdempotencyKey, key)
 	}
-	if err := fasthttp.DoTimeout(request, response, 6*time.Second); err != nil {
+	// A call that was begun is not canceled with the demo.
+	ctx, cancel := context.WithTimeout(context.Background(), demoCallTimeout)
+	defer cancel()
+	if err := demo.calls.Do(ctx, address, request, response); err != nil {
 		return err.Error()
 	}
 	outcome, reason := response.Header.Peek(proxy.HeaderOutcome), response.Header.Peek(proxy.HeaderReason)
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -55,6 +55,8 @@
 // Upstream is a simulated upstream service.
 type Upstream struct {
 	settings Settings
+	// admin are the connections to the node.
+	admin *proxy.Pools
 	// lock guards runsByKey and settings.Random.
 	lock sync.Mutex
 	// runsByKey counts the runs of each idempotency key. A run is the arrival of a
@@ -67,7 +69,7 @@
 
 // New returns an upstream; Run starts it.
 func New(settings Settings) *Upstream {
-	return &Upstream{settings: settings, runsByKey: map[string]int{}}
+	return &Upstream{settings: settings, admin: proxy.New(proxy.DefaultSettings(), settings.Now), runsByKey: map[string]int{}}
 }
 
 // KeyedRuns returns the number of distinct idempotency keys and the total number
@@ -108,7 +110,7 @@
 	case end := <-group.Results():
 		return end.Err
 	}
-	_ = upstream.postAdmin("/v1/leave", []byte("{}"))
+	_ = upstream.postAdmin(context.Background(), "/v1/leave", []byte("{}"))
 	shutdown, cancel := context.WithTimeout(context.Background(), upstream.settings.TTL)
 	defer cancel()
 	err = server.ShutdownWithContext(shutdown)
@@ -136,20 +138,25 @@
 		case <-time.After(interval):
 		}
 		interval = upstream.settings.TTL / 3
-		if upstream.postAdmin("/v1/announce", body) != nil {
+		if upstream.postAdmin(ctx, "/v1/announce", body) != nil {
 			interval = min(interval, 200*time.Millisecond)
 		}
 	}
 }
 
-func (upstream *Upstream) postAdmin(path string, body []byte) error {
+// adminTimeout limits a request to the node.
+const adminTimeout = time.Second
+
+func (upstream *Upstream) postAdmin(ctx context.Context, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + upstream.settings.Admin + path)
 	request.Header.SetMethod("POST")
 	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, time.Second); err != nil {
+	if err := upstream.admin.Do(ctx, upstream.settings.Admin, request, response); err != nil {
 		return err
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
--- a/internal/sample/sample_test.go
+++ b/internal/sample/sample_test.go
@@ -1,12 +1,16 @@
 package sample
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 // TestRunEndsWithItsContext cancels the context of an upstream before, while and
@@ -30,3 +34,43 @@
 		}
 	}
 }
+
+// TestMalformedAnswerIsNoAcknowledgement guards against an upstream that takes a malformed
+// answer for an acknowledged announcement: its node would not have it until the next one is
+// due.
+func TestMalformedAnswerIsNoAcknowledgement(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	announced := make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			var request fasthttp.Request
+			if request.Read(bufio.NewReader(conn)) == nil {
+				announced <- struct{}{}
+				_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			_ = conn.Close()
+		}
+	}()
+	upstream := New(Settings{
+		Service: "s", Version: "v1", Address: FreeAddress(), Admin: listener.Addr().String(),
+		Slots: 1, TTL: time.Hour, Now: time.Now, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- upstream.Run(ctx) }()
+	for range 2 {
+		select {
+		case <-announced:
+		case <-time.After(time.Minute):
+			t.Error("the announcement was not repeated")
+		}
+	}
+	require.NoError(t, listener.Close())
+	cancel()
+	require.NoError(t, <-ended)
+}
