gate: a malformed answer of the health path says nothing, and the log says why

The log line of such a request named status 200, because fasthttp returns that for a response that was not read. It now has status 0 and the reason.

--- a/internal/gate/warmup.go
+++ b/internal/gate/warmup.go
@@ -163,8 +163,11 @@
 	gate.dialect.ForwardInfo(&request, proto.ForwardInfo{Timeout: healthTimeout, UpstreamID: upstream.ID, CallerService: upstream.Service})
 	err := gate.upstreams.Do(ctx, upstream.Address, &request, &response)
 	var left time.Duration
-	told, outcome := false, "unanswered"
-	if err == nil {
+	told, outcome, status, reason := false, "unanswered", 0, ""
+	if err != nil {
+		reason = exchangeReason(err)
+	} else {
+		status = response.StatusCode()
 		left, told = gate.dialect.WarmUp(&response)
 		told = told && !gate.dialect.ResponseInfo(&response).WrongUpstream
 		outcome = "no state"
@@ -174,7 +177,7 @@
 	}
 	gate.stats.Count(fmt.Sprintf(`vp_warm_up_health_requests_total{outcome=%q}`, outcome), 1)
 	gate.log.Info("upstream asked whether it is cold", "upstream", upstream.ID, "born", upstream.Born, "outcome", outcome,
-		"status", response.StatusCode(), "left", left.String(), "took", gate.now().Sub(sent).String())
+		"status", status, "reason", reason, "left", left.String(), "took", gate.now().Sub(sent).String())
 	if told {
 		gate.hearHealth(upstream, sent, left)
 	}
