proxy: the version of a target's answer is not passed on to callers

A client takes that for the end of the connection after this answer. fasthttp keeps the version of a response that it reads and writes it again. Answers are now of version 1.1 (TestValidResponsesAreDelivered, failed for two answers before).

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -129,6 +129,11 @@
 			return ErrInterim
 		}
 	}
+	if !response.Header.IsHTTP11() {
+		// The version applies to the connection to the peer, but fasthttp would write it to
+		// the caller as well.
+		response.Header.SetProtocol([]byte("HTTP/1.1"))
+	}
 	// fasthttp moves the headers that are announced as trailers out of the header
 	// section.
 	response.Header.Del(fasthttp.HeaderTrailer)
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -83,6 +83,7 @@
 			var response fasthttp.Response
 			require.NoError(t, exchangeWith(t, answer, &response))
 			require.Equal(t, status, response.StatusCode())
+			require.Equal(t, "HTTP/1.1", string(response.Header.Protocol()), "the version is that of the peer's connection")
 			require.Equal(t, body, string(response.Body()))
 		})
 	}
