--- a/internal/gate/malformed_test.go
+++ b/internal/gate/malformed_test.go
@@ -1,14 +1,12 @@
 package gate
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 	"github.com/vanillapulley/vanillapulley/internal/warmup"
 )
 
@@ -23,7 +21,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			test := newWarmGate(t)
-			test.upstream.address = startRawUpstream(t, head+"Vp-Warmup-Ms: 0\r\nVp-Limit: 0.5\r\nVp-Leaving: 1\r\nContent-Length: 5\r\n\r\n0\r\n\r\n")
+			address, err := sample.StartRaw(t.Context(), head+"Vp-Warmup-Ms: 0\r\nVp-Limit: 0.5\r\nVp-Leaving: 1\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", nil)
+			require.NoError(t, err)
+			test.upstream.address = address
 			test.gate.withdraw("test")
 			test.announce(1, 0)
 			require.Equal(t, warmup.StateUnknown, test.gate.appliedWarmUp.state)
@@ -36,24 +36,3 @@
 		})
 	}
 }
-
-// startRawUpstream starts an upstream that sends the same bytes to each request.
-func startRawUpstream(t *testing.T, answer string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(conn)) == nil {
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +17,7 @@
 	"github.com/vanillapulley/vanillapulley/internal/lease"
 	"github.com/vanillapulley/vanillapulley/internal/logs"
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 	"github.com/vanillapulley/vanillapulley/internal/stats"
 )
 
@@ -40,7 +41,16 @@
 		}{{"/once/x", 1}, {"/again/x", 2}} {
 			t.Run(fmt.Sprint(i, c.path), func(t *testing.T) {
 				beside, remote := startPatientNode(t, "n1"), startPatientNode(t, "n2")
-				address, runs, conns := startRawUpstream(t, malformed.answer)
+				var runs atomic.Int64
+				var peers sync.Map
+				address, err := sample.StartRaw(t.Context(), malformed.answer, func(_ *fasthttp.Request, peer string) {
+					runs.Add(1)
+					_, known := peers.LoadOrStore(peer, true)
+					if known {
+						t.Error("the connection was used again")
+					}
+				})
+				require.NoError(t, err)
 				announce(t, beside, lease.Notice{ID: "i-1", Born: 1, Sequence: 1, Address: address})
 				introduce(t, remote, beside)
 				for i, node := range []*Node{beside, remote} {
@@ -49,7 +59,6 @@
 					require.Equal(t, string(proxy.OutcomeUnknown), string(response.Header.Peek(proxy.HeaderOutcome)))
 					require.Contains(t, string(response.Body()), "the answer is malformed: "+malformed.reason)
 					require.Equal(t, c.runs*int64(i+1), runs.Load())
-					require.Equal(t, runs.Load(), conns.Load())
 				}
 			})
 		}
@@ -65,27 +74,6 @@
 	return runNode(t, node, kindConfigWithin(t, time.Minute))
 }
 
-// startRawUpstream starts an upstream that sends the same bytes to each request and closes the
-// connection if they say so. It counts its requests and its connections.
-func startRawUpstream(t *testing.T, answer string) (address string, runs, conns *atomic.Int64) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	runs, conns = &atomic.Int64{}, &atomic.Int64{}
-	go acceptAll(listener, func(conn net.Conn, _ *fasthttp.Request, known *string) {
-		if *known == "" {
-			*known = "known"
-			conns.Add(1)
-		}
-		runs.Add(1)
-		_, _ = io.WriteString(conn, answer)
-		if strings.Contains(answer, "Connection: close") {
-			_ = conn.Close()
-		}
-	})
-	return listener.Addr().String(), runs, conns
-}
-
 // TestResetDuringUploadReachesNobody guards against the part of an answer without a length that
 // reaches a caller as a whole one, because the upstream reset the connection while the upload
 // was still being written. An upload is not sent again.
--- a/internal/sample/sample_test.go
+++ b/internal/sample/sample_test.go
@@ -1,11 +1,8 @@
 package sample
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -39,25 +36,11 @@
 // answer for an acknowledged announcement: its node would not have it until the next one is
 // due.
 func TestMalformedAnswerIsNoAcknowledgement(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	announced := make(chan struct{}, 100)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(conn)) == nil {
-				announced <- struct{}{}
-				_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
-			}
-			_ = conn.Close()
-		}
-	}()
+	address, err := StartRaw(t.Context(), "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", func(*fasthttp.Request, string) { announced <- struct{}{} })
+	require.NoError(t, err)
 	upstream := New(Settings{
-		Service: "s", Version: "v1", Address: FreeAddress(), Admin: listener.Addr().String(),
+		Service: "s", Version: "v1", Address: FreeAddress(), Admin: address,
 		Slots: 1, TTL: time.Hour, Now: time.Now, Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -70,7 +53,6 @@
 			t.Error("the announcement was not repeated")
 		}
 	}
-	require.NoError(t, listener.Close())
 	cancel()
 	require.NoError(t, <-ended)
 }
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -1,41 +1,24 @@
 package client
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillapulley/vanillapulley/internal/sample"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
-// startVM starts a stand-in of a control VM that sends the given bytes to each request and
-// closes the connection. It returns its address and the request ids that it got.
+// startVM starts a stand-in of a control VM that sends the given bytes to each request. It
+// returns its address and the request ids that it gets.
 func startVM(t *testing.T, answer string) (address string, ids chan string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	ids = make(chan string, 100)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			var request fasthttp.Request
-			if request.Read(bufio.NewReader(conn)) == nil {
-				ids <- string(request.Header.Peek("Vp-Request-Id"))
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String(), ids
+	address, err := sample.StartRaw(t.Context(), answer, func(request *fasthttp.Request, _ string) { ids <- string(request.Header.Peek("Vp-Request-Id")) })
+	require.NoError(t, err)
+	return address, ids
 }
 
 // TestMalformedAnswersAreNone guards against a write that is reported as accepted or refused
@@ -69,7 +52,7 @@
 
 // TestDefiniteRefusalIsReturned guards against a client that repeats a write which was refused.
 func TestDefiniteRefusalIsReturned(t *testing.T) {
-	address, ids := startVM(t, "HTTP/1.1 409 Conflict\r\n\r\n{\"code\":\"conflict\",\"reason\":\"newer\"}")
+	address, ids := startVM(t, "HTTP/1.1 409 Conflict\r\nConnection: close\r\n\r\n{\"code\":\"conflict\",\"reason\":\"newer\"}")
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	var refusal *RefusalError
