soak: a malformed response of a node is a violation

Their connections now check the header section first. A malformed response of a node to a call is a violation, also in the time of a fault, and no response in polls and odd announcements. Everything else about these clients is as before, so no other check changes.

--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -41,19 +41,20 @@
 
 // Read checks the header section before fasthttp parses it.
 func (head responseHead) Read(reader *bufio.Reader) error {
-	if err := checkHead(reader); err != nil {
+	if err := CheckHead(reader); err != nil {
 		return err
 	}
 	return head.header.Read(reader)
 }
 
-// checkHead checks the header section of a response without consuming it.
-func checkHead(reader *bufio.Reader) error {
+// CheckHead waits for the header section of a response and checks it without consuming it. It
+// returns a *FormatError if the section is malformed.
+func CheckHead(reader *bufio.Reader) error {
 	var check headCheck
 	return checkLines(reader, check.line)
 }
 
-// headCheck is the state of checkHead.
+// headCheck is the state of CheckHead.
 type headCheck struct {
 	// status is true once the status line was checked, and http11 if its version is 1.1.
 	status, http11 bool
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -47,11 +47,11 @@
 }
 
 func newCallers(fleet *fleet, history *history, seed uint64) *callers {
-	return &callers{
-		history: history, fleet: fleet, random: rand.New(rand.NewPCG(seed, 3)),
-		// Retries by the HTTP client would hide failures from the checks.
-		client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }},
-	}
+	client := newClient(func(malformed *proxy.FormatError) { history.addViolation("a call: %v", malformed) })
+	// Retries by the HTTP client would hide failures from the checks.
+	client.MaxIdemponentCallAttempts = 1
+	client.RetryIfErr = func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+	return &callers{history: history, fleet: fleet, random: rand.New(rand.NewPCG(seed, 3)), client: client}
 }
 
 // run starts calls at a constant rate until the context is done and returns once
--- a/internal/soak/disks_test.go
+++ b/internal/soak/disks_test.go
@@ -32,7 +32,7 @@
 			Name, Role string
 			Version    uint64
 		}
-		code, body, err := fasthttp.GetTimeout(nil, "http://"+api+"/v1/health", time.Second)
+		code, body, err := httpClient.GetTimeout(nil, "http://"+api+"/v1/health", time.Second)
 		if err == nil && code == fasthttp.StatusOK && json.Unmarshal(body, &health) == nil && health.Role == "leader" {
 			leader = health.Name
 		}
--- a/internal/soak/odd.go
+++ b/internal/soak/odd.go
@@ -34,7 +34,7 @@
 		request.SetRequestURI("http://" + address + "/v1/announce")
 		request.Header.SetMethod(fasthttp.MethodPost)
 		request.SetBodyString(odd)
-		err := fasthttp.DoTimeout(request, response, time.Second)
+		err := httpClient.DoTimeout(request, response, time.Second)
 		if err == nil && response.StatusCode() < fasthttp.StatusBadRequest {
 			history.addViolation("%s accepted an odd announcement with status %d: %.80q", node, response.StatusCode(), odd)
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -307,7 +307,7 @@
 func (fleet *fleet) versions() []uint64 {
 	versions := make([]uint64, len(fleet.admins))
 	for i, admin := range fleet.admins {
-		code, body, err := fasthttp.GetTimeout(nil, "http://"+admin+"/v1/health", pollInterval)
+		code, body, err := httpClient.GetTimeout(nil, "http://"+admin+"/v1/health", pollInterval)
 		var health struct {
 			Version uint64 `json:"version"`
 		}
@@ -334,7 +334,7 @@
 // servesCalls reports whether every node answers a call without a server error.
 func (fleet *fleet) servesCalls() bool {
 	for _, address := range fleet.callers {
-		code, _, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s%s", address, readyPath), time.Second)
+		code, _, err := httpClient.GetTimeout(nil, fmt.Sprintf("http://%s%s", address, readyPath), time.Second)
 		if err != nil || code >= fasthttp.StatusInternalServerError {
 			return false
 		}
