--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -19,6 +19,7 @@
 // Error returns what is wrong with the response.
 func (err *FormatError) Error() string { return "the answer is malformed: " + err.fault }
 
+// What is wrong with a response.
 var (
 	errStatusLine = &FormatError{"its first line is not a status line"}
 	errStatus     = &FormatError{"its status is not a number from 100 to 599"}
@@ -26,11 +27,11 @@
 	errLineEnd    = &FormatError{"a line does not end in CR LF"}
 	errFolded     = &FormatError{"a line is folded"}
 	errFieldName  = &FormatError{"the name of a field is not a token"}
+	errFieldValue = &FormatError{"the value of a field holds a control character"}
 	errLength     = &FormatError{"its length is not a number"}
 	errCoding     = &FormatError{"its transfer coding is not chunked"}
 	errOldCoding  = &FormatError{"it has a transfer coding that its version of HTTP lacks"}
 	errFraming    = &FormatError{"the length of its body is stated more than once"}
-	errFieldValue = &FormatError{"the value of a field holds a control character"}
 )
 
 // responseHead reads the header section of a response. fasthttp alone accepts sections that
@@ -166,9 +167,9 @@
 	return nil
 }
 
-// splitField returns the name and the value of a field. It refuses what fasthttp makes another field of, or
-// a part of the value of the previous one: a message whose length is in such a line would be
-// delimited differently.
+// splitField returns the name and the value of a field. It refuses blanks around the name and
+// folded lines, which fasthttp accepts: a message whose length is in such a line could be
+// delimited in two ways.
 func splitField(line []byte) (name, value []byte, err error) {
 	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 		return nil, nil, errFolded
