proxy: a call is not called not run after an invalid response of a gate

Cause: an exchange whose announced body is incomplete counts as not sent, because gates use no incomplete body. A peer that sends an invalid response is not known to be such a gate.

A response that is only cut stays as it was: a gate in order sends it when its process ends, and it has no body then.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -56,9 +56,10 @@
 	}
 	if err != nil {
 		// A body of known length that was not written to the end is incomplete for the
-		// peer, which does not use it.
+		// peer, which does not use it. A peer that sends an invalid response is not known
+		// to wait for the body.
 		incomplete := conn.held != nil && !conn.held.complete
-		return &ExchangeError{MaybeSent: !incomplete, Err: err}
+		return &ExchangeError{MaybeSent: !incomplete || isInvalidResponse(err), Err: err}
 	}
 	if conn.reader.Buffered() > 0 {
 		// If the connection were reused, the surplus bytes would be read as the
@@ -69,6 +70,13 @@
 	return nil
 }
 
+// isInvalidResponse reports whether the peer has sent a response that no peer in order sends,
+// also if it fails.
+func isInvalidResponse(err error) bool {
+	var malformed *FormatError
+	return errors.As(err, &malformed) || errors.Is(err, ErrUnframed)
+}
+
 // receiveMatching reads responses until one belongs to the request. It skips up
 // to maxMismatchedResponses others and returns ErrMismatch if the next one does
 // not match either. It also returns ErrMismatch if a response that does not match
--- a/internal/proxy/expect_test.go
+++ b/internal/proxy/expect_test.go
@@ -35,6 +35,17 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
 			_, _ = io.CopyN(io.Discard, reader, size)
 		}, begun: true, maybeSent: true},
+		"a peer whose answer is malformed": {serve: func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = reader.Peek(1)
+		}, maybeSent: true},
+		"a peer whose answer has no length": {serve: func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nok")
+			_, _ = reader.Peek(1)
+		}, maybeSent: true},
+		"a peer whose answer is cut": {serve: func(conn net.Conn, _ *bufio.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Le")
+		}},
 		"a peer that refuses": {serve: func(conn net.Conn, reader *bufio.Reader) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
 			_, _ = reader.Peek(1)
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -19,7 +19,8 @@
 // ExchangeError reports an exchange that did not yield a complete response.
 type ExchangeError struct {
 	// MaybeSent is true if the peer may use the request: part of it may have reached the
-	// peer or, if its body was announced, all of it.
+	// peer or, if its body was announced, all of it. It is also true if the peer has sent
+	// an invalid response.
 	MaybeSent bool
 	Err       error
 }
