--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,90 +1,137 @@
-// Case 9 changes the time-outs of routes to values with a fraction of a millisecond and
-// reads the configuration back.
+// Case 9 has two core machines lose their disks, one of them the leader, and once they have
+// had their time two others, in a deployment whose tenants have quotas.
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/vanillapulley/vanillapulley/review/stage"
 )
 
 const (
-	// startTime is the time between the start of the machines and the first order.
-	startTime = 5 * time.Second
-	// ackTime is the time in which the operator expects an acknowledgement, and liveness
-	// is liveness_s, for which the configuration is read at the end.
-	ackTime  = 4 * time.Second
-	liveness = 3 * time.Second
-	routes   = 40
+	// startTime is the time between the start of the machines and the first order, and
+	// settleTime that between the first order and the first loss.
+	startTime  = 10 * time.Second
+	settleTime = 8 * time.Second
+	// catchUp is catch_up_s of the site. The second loss comes slack later.
+	catchUp = 6 * time.Second
+	slack   = 50 * time.Millisecond
+	// downTime is how long the machines are down.
+	downTime = 500 * time.Millisecond
+	// gap is the time between two changes.
+	gap = 250 * time.Millisecond
+	// ackTime is the time in which the operator expects an acknowledgement, and
+	// readingTime how long the configuration is read at the end: recovery_s.
+	ackTime     = 4 * time.Second
+	readingTime = 15 * time.Second
+	tenants     = 84
 )
 
 func main() { stage.Main(run) }
 
+// order sends configurations, each based on the one before.
+type order struct {
+	stage    *stage.Stage
+	operator *stage.Operator
+	controls []*stage.Control
+	config   stage.Config
+}
+
+// change sends the next configuration and reports whether it was acknowledged.
+func (order *order) change() bool {
+	next := order.config
+	next.Base, next.Version = order.config.Version, order.config.Version+1
+	status := order.operator.Replace(order.controls, next.Encode(), ackTime)
+	order.stage.Note("configuration r%d: status %d", next.Version, status)
+	if status != http.StatusOK {
+		return false
+	}
+	order.config = next
+	return true
+}
+
+// changeUntil sends configurations until a time and reports whether all were acknowledged.
+func (order *order) changeUntil(end time.Time) bool {
+	for time.Now().Before(end) {
+		if !order.change() {
+			return false
+		}
+		time.Sleep(min(gap, time.Until(end)))
+	}
+	return true
+}
+
 func run(s *stage.Stage) (int, error) {
 	controls, err := s.Core()
 	if err != nil {
 		return stage.Failed, err
 	}
 	time.Sleep(startTime)
-	operator := s.NewOperator()
-	config := stage.NewConfig(1, 0, routes)
-	if status := operator.Replace(controls, config.Encode(), 2*ackTime); status != http.StatusOK {
-		s.Note("the first configuration got status %d", status)
+	order := &order{stage: s, operator: s.NewOperator(), controls: controls, config: stage.NewConfig(0, 0, 20)}
+	for i := range tenants {
+		order.config.Accounts = append(order.config.Accounts, stage.Account{
+			Name: fmt.Sprintf("tenant-%d", i), Keys: []string{fmt.Sprintf("key-of-tenant-%d", i)}, RatePerS: 20, Burst: 10,
+		})
+	}
+	if !order.changeUntil(time.Now().Add(settleTime)) {
 		return stage.Failed, nil
 	}
-	config.Base, config.Version = 1, 2
-	for i := range config.Routes {
-		// Objectives from 0.25 s and time-outs from 1 s, in steps of 1 ms or, with the
-		// change, of 0.3 ms.
-		step := 1.0
-		if stage.Trouble() {
-			step = 0.3
+	var leader *stage.Control
+	var others []*stage.Control
+	for _, control := range controls {
+		if leader == nil && order.operator.Leads(control) {
+			leader = control
+		} else {
+			others = append(others, control)
 		}
-		config.Routes[i].ObjectiveMs = float64(2500+int(10*step)*i) / 10
-		config.Routes[i].TimeoutMs = float64(10240+int(10*step)*i) / 10
 	}
-	status := operator.Replace(controls, config.Encode(), ackTime)
-	s.Note("configuration r2: status %d", status)
-	if status != http.StatusOK {
+	if leader == nil {
+		s.Note("no machine leads: the case cannot run")
+		return stage.Failed, nil
+	}
+	first, second := []*stage.Control{leader, others[0]}, others[1:3]
+	if stage.Trouble() {
+		if err := loseDisks(s, first); err != nil {
+			return stage.Failed, err
+		}
+	}
+	// The machines stop counting as lost.
+	if !order.changeUntil(time.Now().Add(catchUp)) || !order.change() {
 		return stage.Failed, nil
 	}
-	different := 0
-	for end := time.Now().Add(liveness); time.Now().Before(end); time.Sleep(liveness / 3) {
-		for _, control := range controls {
-			read, ok := operator.Read([]*stage.Control{control}, ackTime)
-			if !ok || read.Version != config.Version {
-				s.Note("%s: read %v, version r%d", control.Name, ok, read.Version)
-				return stage.Failed, nil
-			}
-			found := compare(s, control, config, read)
-			s.Note("%s: r%d read, %d values differ from what was sent", control.Name, read.Version, found)
-			different += found
+	time.Sleep(slack)
+	if stage.Trouble() {
+		if err := loseDisks(s, second); err != nil {
+			return stage.Failed, err
 		}
 	}
-	if different > 0 {
+	read, ok := order.operator.Read(controls, readingTime)
+	s.Note("configuration at the end: read %v, version r%d, acknowledged r%d", ok, read.Version, order.config.Version)
+	if !ok || read.Version != order.config.Version {
 		return stage.Broken, nil
 	}
 	return stage.Held, nil
 }
 
-// compare returns the number of times that differ between the routes of two configurations.
-func compare(s *stage.Stage, control *stage.Control, sent, read stage.Config) int {
-	byName := map[string]stage.Route{}
-	for _, route := range read.Routes {
-		byName[route.Name] = route
+// loseDisks kills machines, and starts them again with empty disks.
+func loseDisks(s *stage.Stage, controls []*stage.Control) error {
+	for _, control := range controls {
+		control.Kill()
 	}
-	different := 0
-	for _, route := range sent.Routes {
-		got := byName[route.Name]
-		if got.TimeoutMs != route.TimeoutMs {
-			different++
-			s.Note("%s: route %s: timeoutMs sent %v, read %v", control.Name, route.Name, route.TimeoutMs, got.TimeoutMs)
+	for _, control := range controls {
+		if err := os.RemoveAll(control.Data); err != nil {
+			return err
 		}
-		if got.ObjectiveMs != route.ObjectiveMs {
-			different++
-			s.Note("%s: route %s: objectiveMs sent %v, read %v", control.Name, route.Name, route.ObjectiveMs, got.ObjectiveMs)
+		s.Note("%s has lost its disk", control.Name)
+	}
+	time.Sleep(downTime)
+	for _, control := range controls {
+		if err := control.Start(); err != nil {
+			return err
 		}
 	}
-	return different
+	return nil
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -282,6 +282,15 @@
 	return fmt.Sprintf("%s uses %.0f MiB of memory and %d MiB of its disk", control.Name, control.MemoryMB(), bytes>>20)
 }
 
+// Leads reports whether the control VM says that it is the leader.
+func (operator *Operator) Leads(control *Control) bool {
+	status, answer := operator.Send("GET", "http://"+control.API+"/v1/health", nil)
+	var health struct {
+		Role string `json:"role"`
+	}
+	return status == http.StatusOK && json.Unmarshal(answer, &health) == nil && health.Role == "leader"
+}
+
 // Settled rewrites the settings as they are after the first start of the whole system.
 func (control *Control) Settled() error {
 	control.settings["found"] = false
@@ -393,6 +402,15 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	Accounts []Account `json:"accounts,omitempty"`
+}
+
+// Account is a tenant of a configuration.
+type Account struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`
+	RatePerS float64  `json:"ratePerS"`
+	Burst    float64  `json:"burst"`
 }
 
 // Route is a route of a configuration.
