--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,153 +1,137 @@
-// Case 6 replaces three of five core machines as planned: the new ones first, and once they
-// have had their time, SIGTERM to the old ones, one after the other. With VARIANT=disks, it
-// replaces one, and then two others lose their disks.
+// Case 6 has two core machines lose their disks, one of them the leader, and once they have
+// had their time two others, in a deployment whose tenants have quotas.
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/vanillapulley/vanillapulley/review/stage"
 )
 
 const (
-	// startTime is the time between the start of the machines and the first order.
-	startTime = 8 * time.Second
-	// successorTime is how long the new machines run before the old ones are removed:
-	// three times catch_up_s.
-	successorTime = 12 * time.Second
-	// removalGap is the time between two removals.
-	removalGap = time.Second
-	// graceTime is the time between SIGTERM and SIGKILL.
-	graceTime = 6 * time.Second
+	// startTime is the time between the start of the machines and the first order, and
+	// settleTime that between the first order and the first loss.
+	startTime  = 10 * time.Second
+	settleTime = 8 * time.Second
+	// catchUp is catch_up_s of the site. The second loss comes slack later.
+	catchUp = 6 * time.Second
+	slack   = 50 * time.Millisecond
+	// downTime is how long the machines are down.
+	downTime = 500 * time.Millisecond
+	// gap is the time between two changes.
+	gap = 250 * time.Millisecond
 	// ackTime is the time in which the operator expects an acknowledgement, and
 	// readingTime how long the configuration is read at the end: recovery_s.
 	ackTime     = 4 * time.Second
 	readingTime = 15 * time.Second
-	// spares is the number of spare machines of the site.
-	spares = 3
-	// downTime is how long the machines that lose their disks are down, and lostDisks
-	// their number: fault_tolerance.
-	downTime  = 800 * time.Millisecond
-	lostDisks = 2
+	tenants     = 84
 )
 
 func main() { stage.Main(run) }
 
+// order sends configurations, each based on the one before.
+type order struct {
+	stage    *stage.Stage
+	operator *stage.Operator
+	controls []*stage.Control
+	config   stage.Config
+}
+
+// change sends the next configuration and reports whether it was acknowledged.
+func (order *order) change() bool {
+	next := order.config
+	next.Base, next.Version = order.config.Version, order.config.Version+1
+	status := order.operator.Replace(order.controls, next.Encode(), ackTime)
+	order.stage.Note("configuration r%d: status %d", next.Version, status)
+	if status != http.StatusOK {
+		return false
+	}
+	order.config = next
+	return true
+}
+
+// changeUntil sends configurations until a time and reports whether all were acknowledged.
+func (order *order) changeUntil(end time.Time) bool {
+	for time.Now().Before(end) {
+		if !order.change() {
+			return false
+		}
+		time.Sleep(min(gap, time.Until(end)))
+	}
+	return true
+}
+
 func run(s *stage.Stage) (int, error) {
 	controls, err := s.Core()
 	if err != nil {
 		return stage.Failed, err
 	}
 	time.Sleep(startTime)
-	operator := s.NewOperator()
-	config := stage.NewConfig(7, 0, 20)
-	if !send(s, operator, controls, config, 2*ackTime) {
-		return stage.Failed, nil
+	order := &order{stage: s, operator: s.NewOperator(), controls: controls, config: stage.NewConfig(0, 0, 20)}
+	for i := range tenants {
+		order.config.Accounts = append(order.config.Accounts, stage.Account{
+			Name: fmt.Sprintf("tenant-%d", i), Keys: []string{fmt.Sprintf("key-of-tenant-%d", i)}, RatePerS: 20, Burst: 10,
+		})
 	}
-	// The seeds of the new machines are core machines that serve control at that time.
-	var seeds []string
-	for _, control := range controls[2:] {
-		seeds = append(seeds, control.Link)
+	if !order.changeUntil(time.Now().Add(settleTime)) {
+		return stage.Failed, nil
 	}
-	replaced, losesDisks := spares, os.Getenv("VARIANT") == "disks"
-	if losesDisks {
-		replaced = 1
+	var leader *stage.Control
+	var others []*stage.Control
+	for _, control := range controls {
+		if leader == nil && order.operator.Leads(control) {
+			leader = control
+		} else {
+			others = append(others, control)
+		}
 	}
-	s.Note("%d machines are replaced, and others lose their disks: %v", replaced, losesDisks)
-	links, err := stage.FreeAddresses(replaced)
-	if err != nil {
-		return stage.Failed, err
+	if leader == nil {
+		s.Note("no machine leads: the case cannot run")
+		return stage.Failed, nil
 	}
-	all := controls
-	for i, link := range links {
-		control, err := s.NewControl(fmt.Sprintf("core-%d", len(controls)+1+i), stage.Zones[i], link, seeds, false)
-		if err != nil {
-			return stage.Failed, err
-		}
-		if err := control.Start(); err != nil {
+	first, second := []*stage.Control{leader, others[0]}, others[1:3]
+	if stage.Trouble() {
+		if err := loseDisks(s, first); err != nil {
 			return stage.Failed, err
 		}
-		all = append(all, control)
-	}
-	time.Sleep(successorTime)
-	for _, control := range all[len(controls):] {
-		read, ok := operator.Read([]*stage.Control{control}, ackTime)
-		s.Note("%s answers a read with version r%d: %v", control.Name, read.Version, ok)
-		if !ok || read.Version != config.Version {
-			s.Note("a new machine has not caught up: the case cannot run")
-			return stage.Failed, nil
-		}
 	}
-	next := config
-	next.Base, next.Version = config.Version, config.Version+5
-	next.Routes = next.Routes[:19]
-	if !send(s, operator, all, next, ackTime) {
+	// The machines stop counting as lost.
+	if !order.changeUntil(time.Now().Add(catchUp)) || !order.change() {
 		return stage.Failed, nil
 	}
-	left := all
+	time.Sleep(slack)
 	if stage.Trouble() {
-		left = all[replaced:]
-		for _, control := range controls[:replaced] {
-			control.Signal(syscall.SIGTERM)
-			time.Sleep(removalGap)
-		}
-		for _, control := range controls[:replaced] {
-			if !control.Await(graceTime) {
-				control.Kill()
-			}
-			s.Note("%s is gone for good", control.Name)
-		}
-		if losesDisks {
-			next, err = loseDisks(s, operator, left, next)
-			if err != nil {
-				return stage.Failed, err
-			}
+		if err := loseDisks(s, second); err != nil {
+			return stage.Failed, err
 		}
 	}
-	read, ok := operator.Read(left, readingTime)
-	s.Note("configuration at the end: read %v, version r%d, acknowledged r%d", ok, read.Version, next.Version)
-	next.Base, next.Version = next.Version, next.Version+2
-	s.Note("a further change is acknowledged: %v", send(s, operator, left, next, ackTime))
-	if !ok || read.Version != next.Base {
+	read, ok := order.operator.Read(controls, readingTime)
+	s.Note("configuration at the end: read %v, version r%d, acknowledged r%d", ok, read.Version, order.config.Version)
+	if !ok || read.Version != order.config.Version {
 		return stage.Broken, nil
 	}
 	return stage.Held, nil
 }
 
-// send sends a configuration and reports whether it was acknowledged.
-func send(s *stage.Stage, operator *stage.Operator, controls []*stage.Control, config stage.Config, limit time.Duration) bool {
-	status := operator.Replace(controls, config.Encode(), limit)
-	s.Note("configuration r%d on r%d: status %d", config.Version, config.Base, status)
-	return status == http.StatusOK
-}
-
-// loseDisks has the first of the machines lose their disks right after a configuration was
-// acknowledged, which it returns. They come back empty.
-func loseDisks(s *stage.Stage, operator *stage.Operator, controls []*stage.Control, config stage.Config) (stage.Config, error) {
-	config.Base, config.Version = config.Version, config.Version+1
-	if !send(s, operator, controls, config, ackTime) {
-		return config, errors.New("the last change was not acknowledged")
-	}
-	lost := controls[:lostDisks]
-	for _, control := range lost {
+// loseDisks kills machines, and starts them again with empty disks.
+func loseDisks(s *stage.Stage, controls []*stage.Control) error {
+	for _, control := range controls {
 		control.Kill()
 	}
-	for _, control := range lost {
+	for _, control := range controls {
 		if err := os.RemoveAll(control.Data); err != nil {
-			return config, err
+			return err
 		}
 		s.Note("%s has lost its disk", control.Name)
 	}
 	time.Sleep(downTime)
-	for _, control := range lost {
+	for _, control := range controls {
 		if err := control.Start(); err != nil {
-			return config, err
+			return err
 		}
 	}
-	return config, nil
+	return nil
 }
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,169 +1,153 @@
-// Case 7 sends a configuration of many routes again and again, with other time-outs and
-// weights of its routes each time, and kills all core processes at the same moment. It
-// stands in for the platform, which starts a process again that was killed, and kills one
-// that uses more memory than its machine has.
+// Case 7 replaces three of five core machines as planned: the new ones first, and once they
+// have had their time, SIGTERM to the old ones, one after the other. With VARIANT=disks, it
+// replaces one, and then two others lose their disks.
 package main
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
-	"sync"
+	"syscall"
 	"time"
 
 	"github.com/vanillapulley/vanillapulley/review/stage"
 )
 
 const (
-	// routes is about what the sites begin with and one big_config entry of the largest
-	// dose.
-	routes = 320 + 1560
-	// changes is how many configurations are sent, one each gap or later, as in
-	// config_storm.
-	changes = 360
-	gap     = 190 * time.Millisecond
-	// sendingTime bounds the time in which they are sent on a slow machine.
-	sendingTime = 80 * time.Second
 	// startTime is the time between the start of the machines and the first order.
-	startTime = 5 * time.Second
-	// restartDelay is the short delay after which the platform starts a process again.
-	restartDelay = 500 * time.Millisecond
-	// ackTime is the time in which the operator expects an acknowledgement.
-	ackTime = 4 * time.Second
-	// readingTime is how long the configuration is read at the end: recovery_s.
+	startTime = 8 * time.Second
+	// successorTime is how long the new machines run before the old ones are removed:
+	// three times catch_up_s.
+	successorTime = 12 * time.Second
+	// removalGap is the time between two removals.
+	removalGap = time.Second
+	// graceTime is the time between SIGTERM and SIGKILL.
+	graceTime = 6 * time.Second
+	// ackTime is the time in which the operator expects an acknowledgement, and
+	// readingTime how long the configuration is read at the end: recovery_s.
+	ackTime     = 4 * time.Second
 	readingTime = 15 * time.Second
-	// quorum is more than half of the core, and mostEnds how often a process may end by
-	// itself.
-	quorum   = 3
-	mostEnds = 3
+	// spares is the number of spare machines of the site.
+	spares = 3
+	// downTime is how long the machines that lose their disks are down, and lostDisks
+	// their number: fault_tolerance.
+	downTime  = 800 * time.Millisecond
+	lostDisks = 2
 )
 
 func main() { stage.Main(run) }
 
-// platform stands in for the platform.
-type platform struct {
-	stage *stage.Stage
-	lock  sync.Mutex
-	// ends counts the ends of each process, except those by the disruption, and peak is
-	// its largest memory in MiB.
-	ends map[string]int
-	peak map[string]float64
-}
-
-// watch plays the platform for one machine until the channel is closed.
-func (platform *platform) watch(control *stage.Control, done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(10 * time.Millisecond):
-		}
-		memory := control.MemoryMB()
-		platform.lock.Lock()
-		platform.peak[control.Name] = max(platform.peak[control.Name], memory)
-		platform.lock.Unlock()
-		if memory > stage.ControlMemoryMB {
-			platform.stage.Note("%s uses %.0f MiB of %d: the platform kills it", control.Name, memory, stage.ControlMemoryMB)
-			control.Kill()
-			platform.lock.Lock()
-			platform.ends[control.Name]++
-			platform.lock.Unlock()
-		}
-		if control.Running() {
-			continue
-		}
-		time.Sleep(restartDelay)
-		if err := control.Start(); err != nil {
-			platform.stage.Note("%s cannot be started: %v", control.Name, err)
-		}
-	}
-}
-
-// endedOften returns how many processes have ended mostEnds times or more.
-func (platform *platform) endedOften() int {
-	platform.lock.Lock()
-	defer platform.lock.Unlock()
-	count := 0
-	for _, ends := range platform.ends {
-		if ends >= mostEnds {
-			count++
-		}
-	}
-	return count
-}
-
-// split divides the calls of a route between the two services.
-func split(n int) []stage.Part {
-	return []stage.Part{{Service: "huvo11a", Weight: 90 - n%10}, {Service: "wuno96b", Weight: 10 + n%10}}
-}
-
 func run(s *stage.Stage) (int, error) {
 	controls, err := s.Core()
 	if err != nil {
 		return stage.Failed, err
 	}
 	time.Sleep(startTime)
-	platform := &platform{stage: s, ends: map[string]int{}, peak: map[string]float64{}}
-	done := make(chan struct{})
-	var watchers sync.WaitGroup
-	for _, control := range controls {
-		watchers.Go(func() { platform.watch(control, done) })
-	}
-	defer func() {
-		close(done)
-		watchers.Wait()
-	}()
 	operator := s.NewOperator()
-	config, started := stage.NewConfig(0, 0, routes), time.Now()
-	for i := range changes + 1 {
-		began := time.Now()
-		if began.Sub(started) > sendingTime {
-			break
+	config := stage.NewConfig(7, 0, 20)
+	if !send(s, operator, controls, config, 2*ackTime) {
+		return stage.Failed, nil
+	}
+	// The seeds of the new machines are core machines that serve control at that time.
+	var seeds []string
+	for _, control := range controls[2:] {
+		seeds = append(seeds, control.Link)
+	}
+	replaced, losesDisks := spares, os.Getenv("VARIANT") == "disks"
+	if losesDisks {
+		replaced = 1
+	}
+	s.Note("%d machines are replaced, and others lose their disks: %v", replaced, losesDisks)
+	links, err := stage.FreeAddresses(replaced)
+	if err != nil {
+		return stage.Failed, err
+	}
+	all := controls
+	for i, link := range links {
+		control, err := s.NewControl(fmt.Sprintf("core-%d", len(controls)+1+i), stage.Zones[i], link, seeds, false)
+		if err != nil {
+			return stage.Failed, err
 		}
-		config.Base, config.Version = config.Version, config.Version+1
-		for n := range config.Routes {
-			route := &config.Routes[n]
-			route.Service, route.Split, route.TimeoutMs = "", split(i), 1000+100*float64(i%7)
+		if err := control.Start(); err != nil {
+			return stage.Failed, err
 		}
-		status := operator.Replace(controls, config.Encode(), ackTime)
-		if status != http.StatusOK {
-			s.Note("configuration r%d got status %d: the case cannot run", config.Version, status)
+		all = append(all, control)
+	}
+	time.Sleep(successorTime)
+	for _, control := range all[len(controls):] {
+		read, ok := operator.Read([]*stage.Control{control}, ackTime)
+		s.Note("%s answers a read with version r%d: %v", control.Name, read.Version, ok)
+		if !ok || read.Version != config.Version {
+			s.Note("a new machine has not caught up: the case cannot run")
 			return stage.Failed, nil
 		}
-		if i%50 == 0 {
-			s.Note("r%d (%d bytes) acknowledged after %d ms; %s", config.Version, len(config.Encode()), time.Since(began).Milliseconds(), describe(controls[0]))
-		}
-		time.Sleep(gap - min(gap, time.Since(began)))
 	}
-	s.Note("last acknowledged version: r%d; %s", config.Version, describe(controls[0]))
+	next := config
+	next.Base, next.Version = config.Version, config.Version+5
+	next.Routes = next.Routes[:19]
+	if !send(s, operator, all, next, ackTime) {
+		return stage.Failed, nil
+	}
+	left := all
 	if stage.Trouble() {
-		s.Note("all core processes are killed at the same moment")
-		for _, control := range controls {
-			control.Kill()
+		left = all[replaced:]
+		for _, control := range controls[:replaced] {
+			control.Signal(syscall.SIGTERM)
+			time.Sleep(removalGap)
+		}
+		for _, control := range controls[:replaced] {
+			if !control.Await(graceTime) {
+				control.Kill()
+			}
+			s.Note("%s is gone for good", control.Name)
+		}
+		if losesDisks {
+			next, err = loseDisks(s, operator, left, next)
+			if err != nil {
+				return stage.Failed, err
+			}
 		}
 	}
-	operator.SetTimeout(3 * time.Second)
-	read, ok := operator.Read(controls, readingTime)
-	often := platform.endedOften()
-	for _, control := range controls {
-		s.Note("%s: at most %.0f MiB, ended %d times by itself", control.Name, platform.peak[control.Name], platform.ends[control.Name])
-	}
-	s.Note("configuration at the end: read %v, version r%d", ok, read.Version)
-	s.Note("%d of %d core processes ended %d times or more", often, len(controls), mostEnds)
-	if often >= quorum || !ok || read.Version < config.Version {
+	read, ok := operator.Read(left, readingTime)
+	s.Note("configuration at the end: read %v, version r%d, acknowledged r%d", ok, read.Version, next.Version)
+	next.Base, next.Version = next.Version, next.Version+2
+	s.Note("a further change is acknowledged: %v", send(s, operator, left, next, ackTime))
+	if !ok || read.Version != next.Base {
 		return stage.Broken, nil
 	}
 	return stage.Held, nil
 }
 
-// describe returns the memory and the size of the files of a control VM.
-func describe(control *stage.Control) string {
-	size := int64(0)
-	files, _ := os.ReadDir(control.Data)
-	for _, file := range files {
-		if info, err := os.Stat(filepath.Join(control.Data, file.Name())); err == nil {
-			size += info.Size()
+// send sends a configuration and reports whether it was acknowledged.
+func send(s *stage.Stage, operator *stage.Operator, controls []*stage.Control, config stage.Config, limit time.Duration) bool {
+	status := operator.Replace(controls, config.Encode(), limit)
+	s.Note("configuration r%d on r%d: status %d", config.Version, config.Base, status)
+	return status == http.StatusOK
+}
+
+// loseDisks has the first of the machines lose their disks right after a configuration was
+// acknowledged, which it returns. They come back empty.
+func loseDisks(s *stage.Stage, operator *stage.Operator, controls []*stage.Control, config stage.Config) (stage.Config, error) {
+	config.Base, config.Version = config.Version, config.Version+1
+	if !send(s, operator, controls, config, ackTime) {
+		return config, errors.New("the last change was not acknowledged")
+	}
+	lost := controls[:lostDisks]
+	for _, control := range lost {
+		control.Kill()
+	}
+	for _, control := range lost {
+		if err := os.RemoveAll(control.Data); err != nil {
+			return config, err
+		}
+		s.Note("%s has lost its disk", control.Name)
+	}
+	time.Sleep(downTime)
+	for _, control := range lost {
+		if err := control.Start(); err != nil {
+			return config, err
 		}
 	}
-	return control.Describe(size)
+	return config, nil
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,135 +1,159 @@
-// Case 9 has two core machines lose their disks, one of them the leader, and once they have
-// had their time two others, in a deployment whose tenants have quotas.
+// Case 9 has a target deregister, kills all processes at the same moment and lets a
+// heartbeat of the target arrive late.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/vanillapulley/vanillapulley/review/stage"
 )
 
 const (
+	service = "huvo11a"
+	host    = "ficu95.example"
+	path    = "/lohu00000/2f"
 	// startTime is the time between the start of the machines and the first order, and
-	// settleTime that between the first order and the first loss.
-	startTime  = 10 * time.Second
-	settleTime = 8 * time.Second
-	// catchUp is catch_up_s of the site. The second loss comes slack later.
-	catchUp = 6 * time.Second
-	slack   = 50 * time.Millisecond
-	// downTime is how long the machines are down.
-	downTime = 500 * time.Millisecond
-	// gap is the time between two changes.
-	gap = 250 * time.Millisecond
-	// ackTime is the time in which the operator expects an acknowledgement, and
-	// readingTime how long the configuration is read at the end: recovery_s.
-	ackTime     = 4 * time.Second
-	readingTime = 15 * time.Second
-	tenants     = 84
+	// liveness is liveness_s.
+	startTime = 8 * time.Second
+	liveness  = 3 * time.Second
+	// drain is drain_s, and serveOn is how long the target serves after it has left.
+	drain   = 2 * time.Second
+	serveOn = 10 * time.Second
+	// lateness is how long after its sending the heartbeat arrives.
+	lateness = 4 * time.Second
+	// downTime is how long the processes are down.
+	downTime = time.Second
+	// pause is the time between two requests.
+	pause = 50 * time.Millisecond
+	// few is how many requests may cross.
+	few = 0
 )
 
 func main() { stage.Main(run) }
 
-// order sends configurations, each based on the one before.
-type order struct {
-	stage    *stage.Stage
-	operator *stage.Operator
-	controls []*stage.Control
-	config   stage.Config
-}
-
-// change sends the next configuration and reports whether it was acknowledged.
-func (order *order) change() bool {
-	next := order.config
-	next.Base, next.Version = order.config.Version, order.config.Version+1
-	status := order.operator.Replace(order.controls, next.Encode(), ackTime)
-	order.stage.Note("configuration r%d: status %d", next.Version, status)
-	if status != http.StatusOK {
-		return false
-	}
-	order.config = next
-	return true
-}
-
-// changeUntil sends configurations until a time and reports whether all were acknowledged.
-func (order *order) changeUntil(end time.Time) bool {
-	for time.Now().Before(end) {
-		if !order.change() {
-			return false
-		}
-		time.Sleep(min(gap, time.Until(end)))
-	}
-	return true
-}
-
 func run(s *stage.Stage) (int, error) {
 	controls, err := s.Core()
 	if err != nil {
 		return stage.Failed, err
 	}
-	time.Sleep(startTime)
-	order := &order{stage: s, operator: s.NewOperator(), controls: controls, config: stage.NewConfig(0, 0, 20)}
-	for i := range tenants {
-		order.config.Accounts = append(order.config.Accounts, stage.Account{
-			Name: fmt.Sprintf("tenant-%d", i), Keys: []string{fmt.Sprintf("key-of-tenant-%d", i)}, RatePerS: 20, Burst: 10,
-		})
+	var seeds []string
+	for _, control := range controls[:3] {
+		seeds = append(seeds, control.Link)
+	}
+	var nodes []*stage.Node
+	var targets []*stage.Target
+	for i, zone := range stage.Zones {
+		node, err := s.NewNode(fmt.Sprintf("sidecar-%d", i+1), zone, service, seeds)
+		if err != nil {
+			return stage.Failed, err
+		}
+		if err := node.Start(); err != nil {
+			return stage.Failed, err
+		}
+		target, err := s.NewTarget(fmt.Sprintf("i-7f3a91c%d", i), service, node)
+		if err != nil {
+			return stage.Failed, err
+		}
+		defer target.Exit()
+		nodes, targets = append(nodes, node), append(targets, target)
 	}
-	if !order.changeUntil(time.Now().Add(settleTime)) {
+	time.Sleep(startTime)
+	operator := s.NewOperator()
+	if status := operator.Replace(controls, stage.NewConfig(1, 0, 2).Encode(), startTime); status != http.StatusOK {
+		s.Note("the configuration got status %d", status)
 		return stage.Failed, nil
 	}
-	var leader *stage.Control
-	var others []*stage.Control
-	for _, control := range controls {
-		if leader == nil && order.operator.Leads(control) {
-			leader = control
-		} else {
-			others = append(others, control)
+	client := stage.NewClient()
+	send := func(node *stage.Node) stage.Answer {
+		answer := client.Send(node, "GET", host, path, time.Second)
+		s.Note("request %s at %s: status %d %q", answer.ID, node.Name, answer.Status, answer.Body)
+		return answer
+	}
+	time.Sleep(liveness + time.Second)
+	for range 20 {
+		for _, node := range nodes {
+			if send(node).Status != http.StatusOK {
+				return stage.Failed, nil
+			}
 		}
 	}
-	if leader == nil {
-		s.Note("no machine leads: the case cannot run")
+	leaving := targets[0]
+	if len(leaving.Runs()) == 0 {
+		s.Note("the target got no request: the case cannot run")
+		return stage.Failed, nil
+	}
+	// The target has sent its last heartbeat, which is on its way.
+	leaving.Silence()
+	late, lateAt := leaving.Heartbeat("ready"), time.Now().Add(lateness)
+	s.Note("%s sends a heartbeat that arrives late", leaving.ID)
+	if !leaving.Deregister(time.Second) {
+		s.Note("the departure was not acknowledged")
 		return stage.Failed, nil
 	}
-	first, second := []*stage.Control{leader, others[0]}, others[1:3]
+	left := time.Now()
+	s.Note("%s has left: acknowledged", leaving.ID)
 	if stage.Trouble() {
-		if err := loseDisks(s, first); err != nil {
+		if err := restart(s, controls, nodes); err != nil {
 			return stage.Failed, err
 		}
 	}
-	// The machines stop counting as lost.
-	if !order.changeUntil(time.Now().Add(catchUp)) || !order.change() {
-		return stage.Failed, nil
+	back := time.Now()
+	s.Note("all processes run")
+	delivered := make(chan struct{})
+	go func() {
+		defer close(delivered)
+		time.Sleep(time.Until(lateAt))
+		s.Note("the late heartbeat of %s arrives: status %d", leaving.ID, leaving.Deliver(late))
+	}()
+	time.Sleep(time.Until(back.Add(liveness + 200*time.Millisecond)))
+	sent := map[string]time.Time{}
+	served := 0
+	for time.Since(left) < serveOn {
+		for _, node := range nodes {
+			answer := send(node)
+			sent[answer.ID] = answer.Sent
+			if answer.Status == http.StatusOK {
+				served++
+			}
+		}
+		time.Sleep(pause)
 	}
-	time.Sleep(slack)
-	if stage.Trouble() {
-		if err := loseDisks(s, second); err != nil {
-			return stage.Failed, err
+	<-delivered
+	reached := 0
+	for _, run := range leaving.Runs() {
+		if at, ok := sent[run.ID]; ok && at.Sub(left) > drain {
+			reached++
+			s.Note("%s ran request %s, sent %.3f s after the acknowledgement", leaving.ID, run.ID, at.Sub(left).Seconds())
 		}
 	}
-	read, ok := order.operator.Read(controls, readingTime)
-	s.Note("configuration at the end: read %v, version r%d, acknowledged r%d", ok, read.Version, order.config.Version)
-	if !ok || read.Version != order.config.Version {
+	s.Note("%d requests sent by machines in touch, %d served, %d ran on the target that had left", len(sent), served, reached)
+	if served == 0 {
+		return stage.Failed, nil
+	}
+	if reached > few {
 		return stage.Broken, nil
 	}
 	return stage.Held, nil
 }
 
-// loseDisks kills machines, and starts them again with empty disks.
-func loseDisks(s *stage.Stage, controls []*stage.Control) error {
+// restart kills all processes at the same moment and starts them again.
+func restart(s *stage.Stage, controls []*stage.Control, nodes []*stage.Node) error {
+	s.Note("all processes are killed")
+	var procs []*stage.Proc
 	for _, control := range controls {
-		control.Kill()
+		procs = append(procs, control.Proc)
 	}
-	for _, control := range controls {
-		if err := os.RemoveAll(control.Data); err != nil {
-			return err
-		}
-		s.Note("%s has lost its disk", control.Name)
+	for _, node := range nodes {
+		procs = append(procs, node.Proc)
+	}
+	for _, proc := range procs {
+		proc.Kill()
 	}
 	time.Sleep(downTime)
-	for _, control := range controls {
-		if err := control.Start(); err != nil {
+	for _, proc := range procs {
+		if err := proc.Start(); err != nil {
 			return err
 		}
 	}
