raft, ctrl, quota: votes do not wait for leases of limits

Cause: a former replica was removed, and its successor promoted, only once the leases of the earlier leader had expired, in steps of 0.5 s; requests to join were dropped while a change was uncommitted. Ruled out: catching up, the disk.

Change: a voter whose disk was lost, or that is silent, is demoted at once and stays in the list of members until it holds no lease. The removal is exact: from the check on, a member gets no lease. Changes follow each other as they are committed, and requests to join are kept.

TestLeasesOutliveMembers keeps limits exact while leaders are lost, frozen and cut off.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -217,7 +217,7 @@
 	}
 	control.replica = replica
 	control.quotas = newQuotas(control)
-	replica.blocksRemoval = control.quotas.blocksRemoval
+	replica.retire = control.quotas.retire
 	// The other control VMs may be children too, in addition to the nodes.
 	core := distr.New(distr.Settings{
 		Name:           control.settings.Name,
--- a/internal/ctrl/quota.go
+++ b/internal/ctrl/quota.go
@@ -188,42 +188,47 @@
 	if before.role != raft.RoleLeader || after.role != raft.RoleLeader || before.term != after.term {
 		return quota.Grant{}, errNotLeader
 	}
+	return quotas.allot(after, accountLimits(config), renewal)
+}
+
+// allot handles a renewal with the allotment of the view's term, which it creates if there
+// is none. A quorum has confirmed that this replica leads in that term.
+func (quotas *quotas) allot(view *view, limits map[string]quota.Limit, renewal quota.Renewal) (quota.Grant, error) {
 	var members []string
-	for _, member := range after.members {
+	for _, member := range view.members {
 		members = append(members, member.ID)
 	}
-	limits := accountLimits(config)
 	quotas.lock.Lock()
 	defer quotas.lock.Unlock()
 	now := quotas.now()
-	if quotas.allotment == nil || quotas.term != after.term {
-		if after.term < quotas.term {
+	if quotas.allotment == nil || quotas.term != view.term {
+		if view.term < quotas.term {
 			return quota.Grant{}, errNotLeader
 		}
-		quotas.allotment, quotas.term, quotas.settled = quota.NewAllotment(now, quotas.settings, members), after.term, false
-		quotas.log.Info("allotment of a new term", "term", after.term, "members", len(members), "accounts", len(limits))
+		quotas.allotment, quotas.term, quotas.settled = quota.NewAllotment(now, quotas.settings, members), view.term, false
+		quotas.log.Info("allotment of a new term", "term", view.term, "members", len(members), "accounts", len(limits))
 	}
 	quotas.allotment.SetMembers(members)
 	quotas.allotment.SetLimits(limits)
 	granted, err := quotas.allotment.Renew(now, renewal)
 	if settled := quotas.allotment.Settled(now); settled != quotas.settled {
 		quotas.settled = settled
-		quotas.log.Info("leases of earlier leaders are known or have expired", "term", after.term)
+		quotas.log.Info("leases of earlier leaders are known or have expired", "term", view.term)
 	}
 	return granted, err
 }
 
-// blocksRemoval reports whether a member may not be removed from the Raft group yet,
-// because it may hold a lease that a later leader would not know of.
-func (quotas *quotas) blocksRemoval() bool {
+// retire reports whether a member may be removed from the Raft group: it holds no lease
+// that a later leader would not know of, and gets none until it has been removed.
+func (quotas *quotas) retire(member string) bool {
 	limited := len(accountLimits(quotas.control.replica.config())) > 0
 	term := quotas.control.replica.core.Term()
 	quotas.lock.Lock()
 	defer quotas.lock.Unlock()
-	if !limited {
-		return false
+	if quotas.allotment == nil || quotas.term != term {
+		return !limited
 	}
-	return quotas.allotment == nil || quotas.term != term || quotas.allotment.Silent(quotas.now())
+	return quotas.allotment.Retire(quotas.now(), member)
 }
 
 // take gives tokens to a node.
--- a/internal/ctrl/replica.go
+++ b/internal/ctrl/replica.go
@@ -32,10 +32,9 @@
 
 // Parameters of a replica's event loop.
 const (
-	raftTick       = 20 * time.Millisecond
-	inboxCapacity  = 4096
-	maxEventBatch  = 512
-	repairInterval = 500 * time.Millisecond
+	raftTick      = 20 * time.Millisecond
+	inboxCapacity = 4096
+	maxEventBatch = 512
 )
 
 // event is an item in the inbox of the event loop. Exactly one field is set.
@@ -138,7 +137,9 @@
 	// is the last token used.
 	reads         map[uint64]*readRequest
 	lastReadToken uint64
-	nextRepair    time.Time
+	// joining contains replicas to add to the group, by id, while this replica is the
+	// leader.
+	joining map[string]raft.Member
 	// lastAddresses maps replica ids to the address in the last message from each.
 	lastAddresses map[string]string
 
@@ -156,9 +157,9 @@
 	applied uint64
 	// onApply is called with each new configuration, after lock is released.
 	onApply func(config *rsrc.Config)
-	// blocksRemoval reports whether no member may be removed at present. It is nil if
-	// nothing speaks against it.
-	blocksRemoval func() bool
+	// retire is called before a member is removed, and reports whether it may be. It is
+	// nil if any member may be removed.
+	retire func(id string) bool
 }
 
 // openReplica opens the data folder and restores the state from it.
@@ -180,6 +181,7 @@
 		pending:          map[uint64]pending{},
 		reads:            map[uint64]*readRequest{},
 		lastAddresses:    map[string]string{},
+		joining:          map[string]raft.Member{},
 		onApply:          onApply,
 	}
 	if replica.system == nil {
@@ -219,8 +221,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			replica.core.Tick(replica.now())
-			replica.repairMembership()
+			now := replica.now()
+			replica.core.Tick(now)
+			replica.maintainMembership(now)
 		case first := <-replica.inbox:
 			replica.handleEvent(first)
 			replica.handleQueuedEvents()
@@ -279,10 +282,9 @@
 	replica.pending[index] = pending{term: term, answer: proposal.answer}
 }
 
-// join adds a replica to the group as a learner. If the replica is already a
-// member, join only updates its address. If the membership cannot be changed,
-// because this replica is not the leader or another change is in progress, the
-// answer contains the address of the leader if it is known.
+// join queues a replica that is to be added to the group as a learner, or whose address
+// has changed. If this replica is not the leader, the answer contains the address of the
+// leader if it is known.
 func (replica *replica) join(now time.Time, joinRequest *joinRequest) {
 	for _, member := range replica.core.Members() {
 		if member.ID == joinRequest.member.ID && member.Address == joinRequest.member.Address {
@@ -290,31 +292,53 @@
 			return
 		}
 	}
-	if err := replica.core.AddLearner(now, joinRequest.member); err != nil {
+	if replica.core.Role() != raft.RoleLeader {
 		joinRequest.answer <- wire.JoinAnswer{Leader: replica.leader().Address}
 		return
 	}
-	replica.log.Info("learner added", "id", joinRequest.member.ID, "address", joinRequest.member.Address)
+	replica.joining[joinRequest.member.ID] = joinRequest.member
+	replica.maintainMembership(now)
 	// Joined stays false. The replica asks again until it is a member.
 	joinRequest.answer <- wire.JoinAnswer{}
 }
 
-// repairMembership lets the Raft core make a membership change if one is needed.
-// It does so at most once per repairInterval.
-func (replica *replica) repairMembership() {
-	now := replica.now()
-	if now.Before(replica.nextRepair) {
-		return
-	}
-	replica.nextRepair = now.Add(repairInterval)
-	if replica.isLeader() && replica.blocksRemoval != nil && replica.blocksRemoval() {
+// maintainMembership makes at most one membership change, if one is needed and no other
+// one is uncommitted. It is called with every tick, so that a series of changes takes
+// little more than the time to commit them.
+func (replica *replica) maintainMembership(now time.Time) {
+	if replica.core.Role() != raft.RoleLeader {
+		clear(replica.joining)
 		return
 	}
-	if replica.core.Repair(now, replica.desiredVoters) {
+	if replica.core.Repair(now, replica.desiredVoters) || replica.addJoining(now) || replica.removeAbsent(now) {
 		replica.log.Info("membership changed", "members", describeMembers(replica.core.Members()))
 	}
 }
 
+// addJoining adds a queued replica as a learner and reports whether it did.
+func (replica *replica) addJoining(now time.Time) bool {
+	for id, member := range replica.joining {
+		if replica.core.AddLearner(now, member) != nil {
+			return false
+		}
+		delete(replica.joining, id)
+		replica.log.Info("learner added", "id", member.ID, "address", member.Address)
+		return true
+	}
+	return false
+}
+
+// removeAbsent removes a learner that has not replied for long, for example a demoted
+// replica whose disk was lost, and reports whether it did.
+func (replica *replica) removeAbsent(now time.Time) bool {
+	for _, member := range replica.core.AbsentLearners(now) {
+		if replica.retire == nil || replica.retire(member.ID) {
+			return replica.core.Remove(now, member.ID) == nil
+		}
+	}
+	return false
+}
+
 // describeMembers returns the id and role of each member for the log.
 func describeMembers(members []raft.Member) []string {
 	names := make([]string, 0, len(members))
--- a/internal/quota/allot.go
+++ b/internal/quota/allot.go
@@ -39,6 +39,8 @@
 	// unheard contains the members that may hold a lease of an earlier leader. They
 	// have not stated their shares, and their leases have not yet expired.
 	unheard map[string]bool
+	// retired contains the members that get no lease because they are being removed.
+	retired map[string]bool
 	limits  map[string]Limit
 	holders map[string]*holder
 	// stated is true once a home has stated a share of an earlier leader. start
@@ -76,7 +78,7 @@
 // NewAllotment returns the allotment of a leader whose term began now. Members are
 // those of the Raft group that may hold a lease of an earlier leader.
 func NewAllotment(now time.Duration, settings Settings, members []string) *Allotment {
-	allotment := &Allotment{settings: settings, started: now, members: slices.Clone(members), unheard: map[string]bool{}, limits: map[string]Limit{}, holders: map[string]*holder{}, start: map[string]bool{}}
+	allotment := &Allotment{settings: settings, started: now, members: slices.Clone(members), unheard: map[string]bool{}, retired: map[string]bool{}, limits: map[string]Limit{}, holders: map[string]*holder{}, start: map[string]bool{}}
 	for _, member := range members {
 		allotment.unheard[member] = true
 	}
@@ -87,6 +89,7 @@
 // it expires.
 func (allotment *Allotment) SetMembers(members []string) {
 	allotment.members = slices.Clone(members)
+	maps.DeleteFunc(allotment.retired, func(member string, _ bool) bool { return !slices.Contains(members, member) })
 }
 
 // SetLimits replaces the limits of all accounts that have one.
@@ -97,15 +100,17 @@
 	return len(allotment.unheard) == 0 || now-allotment.started >= LeaseTime+clockMargin
 }
 
-// Silent reports whether a home may hold a lease that it has not renewed lately, or
-// that is not known.
-func (allotment *Allotment) Silent(now time.Duration) bool {
-	for _, holder := range allotment.holders {
-		if holder.known && !holder.expired(now) && now-holder.renewed > 2*renewInterval {
-			return true
-		}
+// Retire prepares the removal of a member. It returns false if the member may hold a
+// lease, which a later leader would not know of after the removal. Otherwise the member
+// gets no lease until it has been removed and added again.
+func (allotment *Allotment) Retire(now time.Duration, member string) bool {
+	allotment.expire(now)
+	holder := allotment.holders[member]
+	if allotment.unheard[member] || holder != nil && holder.known {
+		return false
 	}
-	return !allotment.Settled(now)
+	allotment.retired[member] = true
+	return true
 }
 
 func (holder *holder) expired(now time.Duration) bool {
@@ -141,6 +146,9 @@
 	if !slices.Contains(allotment.members, renewal.Holder) {
 		return nil, errors.New("quota: the home is not a member")
 	}
+	if allotment.retired[renewal.Holder] {
+		return nil, errors.New("quota: the home is being removed")
+	}
 	switch {
 	case current == nil:
 		current = &holder{incarnation: renewal.Incarnation, leases: map[string]*lease{}}
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -473,8 +473,8 @@
 }
 
 // setLeaderCommit raises the leader's commit index and starts the deferred reads.
-// The leader steps down if a committed membership no longer includes it. Otherwise
-// it sends the new commit index with a heartbeat at the next Tick.
+// The leader steps down if it is no voter in a committed membership. Otherwise it sends
+// the new commit index with a heartbeat at the next Tick.
 func (core *Core) setLeaderCommit(now time.Time, index uint64) {
 	core.commit = index
 	if len(core.deferredReads) > 0 {
@@ -482,7 +482,7 @@
 		core.deferredReads = nil
 		core.startReads(now, tokens...)
 	}
-	if !core.isMember(core.id) && core.log.membersIndex <= core.commit {
+	if !core.isVoter(core.id) && core.log.membersIndex <= core.commit {
 		core.becomeFollower(now, core.hardState.Term, "")
 		return
 	}
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -23,7 +23,7 @@
 	if core.role != RoleLeader {
 		return &NotLeaderError{Leader: core.leader}
 	}
-	if core.log.membersIndex > core.commit || core.log.term(core.commit) != core.hardState.Term {
+	if !core.canChangeMembers() {
 		return &MembershipError{Reason: "another change is not committed yet"}
 	}
 	core.appendEntry(Entry{Kind: EntryMembers, Members: members})
@@ -67,41 +67,63 @@
 	return peer != nil && peer.match >= core.commit && now.Sub(peer.lastReply) < core.timing.ElectionTimeout
 }
 
-// Repair makes at most one membership change that brings a caught-up learner
-// closer to becoming a voter. If another member has the learner's name or address,
-// it is the former replica of the learner's VM, whose disk was lost, and Repair
-// removes it. Otherwise, if the group has fewer than maxVoters voters, Repair
-// promotes the learner; if not, it removes a voter that has not replied for longer
-// than the absence timeout. Repair does nothing on a replica that is not the leader
-// or while another membership change is uncommitted. It reports whether it made a
-// change.
+// Repair makes at most one membership change that brings a caught-up learner closer to
+// becoming a voter. If a voter has the learner's name or address, it is the former
+// replica of the learner's VM, whose disk was lost, and Repair demotes it. Otherwise, if
+// the group has fewer than maxVoters voters, Repair promotes the learner; if not, it
+// demotes a voter that has not replied for longer than the absence timeout. Repair does
+// nothing on a replica that is not the leader or while another membership change is
+// uncommitted. It reports whether it made a change.
 func (core *Core) Repair(now time.Time, maxVoters int) bool {
-	if core.role != RoleLeader || core.log.membersIndex > core.commit {
+	if !core.canChangeMembers() {
 		return false
 	}
 	for _, learner := range core.log.members {
 		if learner.Voter || !core.CaughtUp(now, learner.ID) {
 			continue
 		}
-		if replaced, ok := core.replacedMember(learner); ok {
-			return core.Remove(now, replaced.ID) == nil
+		if replaced, ok := core.replacedVoter(learner); ok {
+			return core.setVoter(now, replaced.ID, false) == nil
 		}
 		if core.voterCount() < maxVoters {
-			return core.promote(now, learner.ID) == nil
+			return core.setVoter(now, learner.ID, true) == nil
 		}
 		if unresponsive, ok := core.unresponsiveVoter(now); ok {
-			return core.Remove(now, unresponsive.ID) == nil
+			return core.setVoter(now, unresponsive.ID, false) == nil
 		}
 	}
 	return false
 }
 
-// replacedMember returns another member with the learner's name or address. Such a
-// member is the former replica of the learner's VM, whose disk was lost.
-func (core *Core) replacedMember(learner Member) (Member, bool) {
+// AbsentLearners returns the learners that have not replied for longer than the absence
+// timeout, among them demoted voters. The caller may remove them; one that returns asks
+// to join again. The result is empty on a replica that is not the leader and while
+// another membership change is uncommitted.
+func (core *Core) AbsentLearners(now time.Time) []Member {
+	if !core.canChangeMembers() {
+		return nil
+	}
+	var absent []Member
+	for _, member := range core.log.members {
+		peer := core.progress[member.ID]
+		if !member.Voter && peer != nil && now.Sub(peer.lastReply) > core.timing.AbsenceTimeout {
+			absent = append(absent, member)
+		}
+	}
+	return absent
+}
+
+// canChangeMembers reports whether changeMembers would accept a change.
+func (core *Core) canChangeMembers() bool {
+	return core.role == RoleLeader && core.log.membersIndex <= core.commit && core.log.term(core.commit) == core.hardState.Term
+}
+
+// replacedVoter returns a voter with the learner's name or address. Such a voter is the
+// former replica of the learner's VM, whose disk was lost.
+func (core *Core) replacedVoter(learner Member) (Member, bool) {
 	for _, member := range core.log.members {
 		sameVM := member.Name == learner.Name || member.Address == learner.Address
-		if sameVM && member.ID != learner.ID {
+		if member.Voter && sameVM {
 			return member, true
 		}
 	}
@@ -139,13 +161,17 @@
 	return count
 }
 
-// promote makes a learner a voter.
-func (core *Core) promote(now time.Time, id string) error {
+// setVoter promotes a learner or demotes a voter. A demoted voter stays a learner, so that
+// later leaders know of it.
+func (core *Core) setVoter(now time.Time, id string, voter bool) error {
 	members := slices.Clone(core.log.members)
 	for i := range members {
 		if members[i].ID == id {
-			members[i].Voter = true
+			members[i].Voter = voter
 		}
 	}
+	if !slices.ContainsFunc(members, func(member Member) bool { return member.Voter }) {
+		return &MembershipError{Reason: "the last voter cannot be demoted"}
+	}
 	return core.changeMembers(now, members)
 }
