raft: of two candidates that split the vote, one repeats at once

What callers saw: nothing yet; found while the time budget of a repair was written down. With two of five voters lost, every vote is needed, and two candidates in one term cost another election timeout of 0.6 to 1.2 s, possibly again and again.

Change: the candidate with the longer log, or else the greater id, starts its next pre-vote within a heartbeat interval.

TestSplitVoteIsRepeatedSoon failed before.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -376,3 +376,33 @@
 		require.EqualValues(t, 4, core.Commit())
 	}
 }
+
+// TestSplitVoteIsRepeatedSoon guards against elections that depend on luck while every
+// remaining voter is needed, as after the loss of two of five: of two candidates in one
+// term, just one must start another pre-vote within a heartbeat interval.
+func TestSplitVoteIsRepeatedSoon(t *testing.T) {
+	members := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+	for id, repeats := range map[string]bool{"a": false, "c": true} {
+		other := map[string]string{"a": "c", "c": "a"}[id]
+		now := time.Unix(1000, 0)
+		core, err := New(id, Bootstrap(members...), DefaultTiming(), rand.New(rand.NewPCG(1, 1)), now)
+		require.NoError(t, err)
+		sent := func() []Message {
+			ready := core.Ready()
+			core.Advance(now, ready)
+			return ready.Messages
+		}
+		now = now.Add(time.Second)
+		core.Tick(now)
+		for _, voter := range []string{"b", other} {
+			require.NoError(t, core.Step(now, Message{Kind: MessagePreVoteReply, From: voter, To: id, Term: 2}))
+		}
+		require.Equal(t, RoleCandidate, core.Role())
+		sent()
+		require.NoError(t, core.Step(now, Message{Kind: MessageVote, From: other, To: id, Term: 2, Index: 1, LogTerm: 1}))
+		require.True(t, sent()[0].Reject)
+		now = now.Add(DefaultTiming().HeartbeatInterval)
+		core.Tick(now)
+		require.Equal(t, repeats, core.Role() == RolePreCandidate, id)
+	}
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -119,10 +119,18 @@
 // candidate's log is less up to date than this replica's log, campaignSoon moves
 // this replica's next pre-vote forward to within one heartbeat interval: the
 // candidate may be unable to win, and presumably no replica with a log as complete
-// as this one has started an election yet.
+// as this one has started an election yet. If both are candidates in the same term, the
+// votes may be split, and one of the two, by log and id, tries again that soon.
 func (core *Core) campaignSoon(now time.Time, message Message) {
+	ahead := !core.upToDate(message)
+	if split := message.Kind == MessageVote && message.Term == core.hardState.Term && core.role == RoleCandidate; split {
+		sameLog := message.LogTerm == core.log.lastTerm() && message.Index == core.log.last()
+		ahead = ahead || sameLog && core.id > message.From
+	} else if core.role != RoleFollower {
+		return
+	}
 	due := now.Add(time.Duration(core.random.Int64N(int64(core.timing.HeartbeatInterval))))
-	if core.role == RoleFollower && !core.upToDate(message) && due.Before(core.electionDue) {
+	if ahead && due.Before(core.electionDue) {
 		core.electionDue = due
 	}
 }
