raft, ctrl: a control VM that stops as planned hands its vote over

Cause: learners got votes only in place of voters that were silent for 3 s, and a VM that got SIGTERM kept its vote. Ruled out: the successors, the leases of limits.

Change: on SIGTERM the VM tells the leader, which promotes a learner that has caught up and then demotes the VM; meanwhile all components of the VM run on. A leaving learner gets no vote.

--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -93,7 +93,8 @@
 func stateOf(ts *testscript.TestScript) *scriptState { return ts.Value("bench").(*scriptState) }
 
 // cmdFleet writes the settings files of control VMs and nodes:
-// fleet CONTROLS NODES [WATCH]. WATCH is the watch time of a rollout. The files
+// fleet CONTROLS NODES [WATCH [VOTERS]]. WATCH is the watch time of a rollout, and VOTERS
+// the intended number of voters if it is not CONTROLS. The files
 // are c1.json, n1.json and so on. It sets $c1_api and so on for each control VM,
 // $n1_callers, $n1_admin and so on for each node, and $VPCTL_API.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
@@ -103,6 +104,10 @@
 	if len(args) > 2 {
 		watch = args[2]
 	}
+	voters := controls
+	if len(args) > 3 {
+		voters, _ = strconv.Atoi(args[3])
+	}
 	var links, apis, nodeLinks []string
 	for range controls {
 		links, apis = append(links, sample.FreeAddress()), append(apis, sample.FreeAddress())
@@ -115,7 +120,7 @@
 		peers := append(append([]string{}, links[:i]...), links[i+1:]...)
 		writeScriptSettings(ts, name, map[string]any{
 			"name": name, "zone": zoneName(i), "data": name, "api": apis[i], "link": links[i],
-			"peers": peers, "replicas": controls, "snapshotEvery": 20,
+			"peers": peers, "replicas": voters, "snapshotEvery": 20,
 			"rollout": map[string]string{"dwell": "1s", "watch": watch, "cold": "1s"},
 		})
 		ts.Setenv(name+"_api", apis[i])
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -180,13 +180,16 @@
 		}
 		apiListeners["metrics"] = metrics
 	}
-	if err := control.open(ctx); err != nil {
+	// After ctx has ended, the components run on while the replica hands its vote over.
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := control.open(ctx, running); err != nil {
 		return errors.Join(err, linkListener.Close(), apiListener.Close())
 	}
 	for name, listener := range apiListeners {
 		apiListeners[name] = accept.Wrap(listener, control.log)
 	}
-	return control.serve(ctx, accept.Wrap(linkListener, control.log), apiListeners)
+	return control.serve(ctx, running, cancel, accept.Wrap(linkListener, control.log), apiListeners)
 }
 
 // linkOptions returns the options for connections between processes.
@@ -199,8 +202,8 @@
 
 // open creates the replica, the root of the distribution tree and the rollout
 // manager. If there is no data folder, it creates one, or returns an error if Peers
-// is empty.
-func (control *Control) open(ctx context.Context) error {
+// is empty. The components run until the context running ends.
+func (control *Control) open(ctx, running context.Context) error {
 	if !disk.Exists(control.settings.Data) {
 		if len(control.settings.Peers) == 0 {
 			return trace.NotFound("the data folder %s contains no replica: start once with --init to create a new control plane, or set peers to join an existing one", control.settings.Data)
@@ -209,8 +212,8 @@
 			return err
 		}
 	}
-	control.ctx = ctx
-	control.caller = link.NewClient(ctx, control.linkOptions())
+	control.ctx = running
+	control.caller = link.NewClient(running, control.linkOptions())
 	replica, err := openWhenRoom(ctx, control.deps, control.caller, control.enqueueConfig)
 	if err != nil {
 		return err
@@ -235,22 +238,21 @@
 	return nil
 }
 
-// serve runs all components until the context ends or one of them fails.
-func (control *Control) serve(ctx context.Context, linkListener net.Listener, apiListeners map[string]net.Listener) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// serve runs all components until ctx ends or one of them fails. If ctx ends, the replica
+// hands over what it has before the components are stopped, by the end of running.
+func (control *Control) serve(ctx, running context.Context, stop func(), linkListener net.Listener, apiListeners map[string]net.Listener) error {
 	taskGroup := tasks.New(9)
 	control.registerGauges()
 	control.announce()
-	taskGroup.Go(ctx, "replica", control.replica.run)
-	taskGroup.Go(ctx, "tree", func(ctx context.Context) error { return control.tree.Run(ctx, linkListener) })
-	taskGroup.Go(ctx, "publish", control.publishConfigs)
-	taskGroup.Go(ctx, "confirm", control.confirmJoins)
-	taskGroup.Go(ctx, "follow", control.followLeader)
-	taskGroup.Go(ctx, "join", control.joinRaftGroup)
-	taskGroup.Go(ctx, "rollouts", control.rolloutManager.run)
-	taskGroup.Go(ctx, "quota", control.quotas.run)
-	stopAPI := control.startAPI(ctx, taskGroup, apiListeners)
+	taskGroup.Go(running, "replica", control.replica.run)
+	taskGroup.Go(running, "tree", func(ctx context.Context) error { return control.tree.Run(ctx, linkListener) })
+	taskGroup.Go(running, "publish", control.publishConfigs)
+	taskGroup.Go(running, "confirm", control.confirmJoins)
+	taskGroup.Go(running, "follow", control.followLeader)
+	taskGroup.Go(running, "join", control.joinRaftGroup)
+	taskGroup.Go(running, "rollouts", control.rolloutManager.run)
+	taskGroup.Go(running, "quota", control.quotas.run)
+	stopAPI := control.startAPI(running, taskGroup, apiListeners)
 	control.log.Info("started", "name", control.settings.Name, "id", control.replica.id, "api", control.settings.API)
 	var failure error
 	for failure == nil && ctx.Err() == nil {
@@ -262,8 +264,13 @@
 			}
 		}
 	}
-	failure = errors.Join(failure, stopAPI())
-	cancel()
+	deadline, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if failure == nil {
+		control.handOver(deadline)
+	}
+	failure = errors.Join(failure, stopAPI(deadline))
+	stop()
 	taskGroup.Wait()
 	control.log.Info("stopped")
 	return failure
--- a/internal/ctrl/group_test.go
+++ b/internal/ctrl/group_test.go
@@ -145,6 +145,28 @@
 	vm.group.messages = slices.DeleteFunc(vm.group.messages, func(message groupMessage) bool { return message.address == vm.address })
 }
 
+// stop stops VMs as planned, all at once. It returns once all have ended.
+func (group *group) stop(vms ...*groupVM) {
+	for end := group.now.Add(handOverTimeout); ; group.run(raftTick) {
+		for _, vm := range vms {
+			if leader := group.leader(); !vm.down && (group.now.After(end) || leader != nil && leader.leave(vm)) {
+				vm.kill()
+			}
+		}
+		if !slices.ContainsFunc(vms, func(vm *groupVM) bool { return !vm.down }) {
+			return
+		}
+	}
+}
+
+// leave tells the leader that another VM is about to stop, and returns its answer.
+func (vm *groupVM) leave(leaving *groupVM) bool {
+	answer := make(chan wire.LeaveAnswer, 1)
+	vm.replica.handleEvent(event{leave: &leaveRequest{id: leaving.replica.id, answer: answer}})
+	require.NoError(vm.group.t, vm.replica.processReady(context.Background()))
+	return (<-answer).Done
+}
+
 // loseDisks kills VMs and starts them again with empty disks after a delay.
 func (group *group) loseDisks(delay time.Duration, vms ...*groupVM) {
 	for _, vm := range vms {
--- a/internal/ctrl/listen.go
+++ b/internal/ctrl/listen.go
@@ -28,7 +28,8 @@
 	// apiPoolSize limits the requests of operators in progress, which include those that
 	// watch.
 	apiPoolSize = 1024
-	// shutdownTimeout is how long a planned stop waits for API requests in progress.
+	// shutdownTimeout is how long a planned stop waits for the handover and for API
+	// requests in progress.
 	shutdownTimeout = 5 * time.Second
 )
 
@@ -41,8 +42,8 @@
 }
 
 // startAPI serves the API at each listener. It returns a function that stops serving and
-// waits for the requests in progress.
-func (control *Control) startAPI(ctx context.Context, group *tasks.Group, listeners map[string]net.Listener) (stop func() error) {
+// waits for the requests in progress, until its context ends.
+func (control *Control) startAPI(ctx context.Context, group *tasks.Group, listeners map[string]net.Listener) (stop func(context.Context) error) {
 	servers := map[string]*front.Server{}
 	for name, listener := range listeners {
 		share := apiShare
@@ -61,9 +62,7 @@
 		servers[name] = server
 		group.Go(ctx, name, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	}
-	return func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
+	return func(ctx context.Context) error {
 		var failure error
 		for name, server := range servers {
 			failure = errors.Join(failure, listeners[name].Close(), server.Shutdown(ctx))
--- a/internal/ctrl/reopen.go
+++ b/internal/ctrl/reopen.go
@@ -20,6 +20,8 @@
 		event.read.answer <- readAnswer{err: ErrUnavailable}
 	case event.join != nil:
 		event.join.answer <- wire.JoinAnswer{}
+	case event.leave != nil:
+		event.leave.answer <- wire.LeaveAnswer{Refused: true}
 	}
 }
 
--- a/internal/ctrl/replica.go
+++ b/internal/ctrl/replica.go
@@ -25,6 +25,7 @@
 const (
 	methodRaft    = "raft"
 	methodJoin    = "join"
+	methodLeave   = "leave"
 	methodPropose = "propose"
 	methodRead    = "read"
 	methodStatus  = "status"
@@ -43,6 +44,7 @@
 	propose *proposal
 	read    *readRequest
 	join    *joinRequest
+	leave   *leaveRequest
 }
 
 // proposal is a request to append a command to the log.
@@ -75,6 +77,12 @@
 	answer chan wire.JoinAnswer
 }
 
+// leaveRequest announces that a replica is about to stop.
+type leaveRequest struct {
+	id     string
+	answer chan wire.LeaveAnswer
+}
+
 // pending describes a proposal that is in the log but is not applied yet.
 type pending struct {
 	term   uint64
@@ -268,6 +276,8 @@
 		replica.reads[replica.lastReadToken] = event.read
 	case event.join != nil:
 		replica.join(now, event.join)
+	case event.leave != nil:
+		replica.leave(now, event.leave)
 	}
 }
 
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -184,6 +184,12 @@
 		case <-ctx.Done():
 			return nil, ErrUnavailable
 		}
+	case methodLeave:
+		var request wire.LeaveRequest
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return replica.leaveLocal(ctx, request.ID)
 	default:
 		return nil, trace.NotFound("method %q is unknown", method)
 	}
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -57,6 +57,9 @@
 	// in the current election.
 	votes    map[string]bool
 	progress map[string]*progress
+	// leaving maps the ids of replicas that are about to stop to the time at which they
+	// last said so. It is used by the leader only.
+	leaving map[string]time.Time
 	// round is the number of the latest confirmation round; see Message.Round.
 	round uint64
 	reads []pendingRead
@@ -243,7 +246,7 @@
 	core.role = RoleFollower
 	core.leader = leader
 	core.votes = nil
-	core.progress = nil
+	core.progress, core.leaving = nil, nil
 	core.failReads()
 	core.resetElectionTimer(now)
 }
@@ -304,6 +307,7 @@
 	core.role = RoleLeader
 	core.leader = core.id
 	core.progress = map[string]*progress{}
+	core.leaving = map[string]time.Time{}
 	core.syncProgress(now)
 	core.appendEntry(Entry{Kind: EntryNoop})
 	core.broadcast(now)
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -68,7 +68,7 @@
 }
 
 // Repair makes at most one membership change that brings a caught-up learner closer to
-// becoming a voter. If a voter has the learner's name or address, it is the former
+// becoming a voter, unless the learner is about to stop. If a voter has the learner's name or address, it is the former
 // replica of the learner's VM, whose disk was lost, and Repair demotes it. Otherwise, if
 // the group has fewer than maxVoters voters, Repair promotes the learner; if not, it
 // demotes a voter that has not replied for longer than the absence timeout. Repair does
@@ -79,7 +79,7 @@
 		return false
 	}
 	for _, learner := range core.log.members {
-		if learner.Voter || !core.CaughtUp(now, learner.ID) {
+		if learner.Voter || !core.CaughtUp(now, learner.ID) || core.isLeaving(now, learner.ID) {
 			continue
 		}
 		if replaced, ok := core.replacedVoter(learner); ok {
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -203,6 +203,19 @@
 	Leader string `json:"leader,omitempty"`
 }
 
+// LeaveRequest tells the leader that a replica is about to stop.
+type LeaveRequest struct {
+	ID string `json:"id"`
+}
+
+// LeaveAnswer is the response to a LeaveRequest. Done is true if the replica may stop. If
+// it is false, the replica sends the request again later. Refused is true if the replica
+// that was asked is not the leader.
+type LeaveAnswer struct {
+	Done    bool `json:"done"`
+	Refused bool `json:"refused,omitempty"`
+}
+
 // ProposeAnswer is the response of the leader to a command that another replica
 // has forwarded.
 type ProposeAnswer struct {
