raft: a leader that stops as planned transfers its leadership

What callers saw: no change was accepted for 0.6 to 1.2 s after each planned stop of the leader.

Change: the leader asks a voter with all entries to start an election at once; its vote requests are granted although the leader is alive. Reads and leases do not rely on that check, but on confirmation by a quorum in the leader's term.

TestSeeds and FuzzCore play handovers, too.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -173,7 +173,7 @@
 	if now.Before(core.electionDue) || !core.isVoter(core.id) {
 		return
 	}
-	core.campaign(now, RolePreCandidate)
+	core.campaign(now, RolePreCandidate, false)
 }
 
 // tickLeader steps down if the leader has lost its quorum, and otherwise sends
@@ -261,8 +261,9 @@
 	core.reads, core.deferredReads = nil, nil
 }
 
-// campaign starts a pre-vote, or an election after a successful pre-vote.
-func (core *Core) campaign(now time.Time, role Role) {
+// campaign starts a pre-vote, or an election after a successful pre-vote or at the request
+// of the leader, which transfer says.
+func (core *Core) campaign(now time.Time, role Role, transfer bool) {
 	core.role = role
 	core.leader = ""
 	core.votes = map[string]bool{core.id: true}
@@ -284,7 +285,7 @@
 	}
 	for _, member := range core.log.members {
 		if member.Voter && member.ID != core.id {
-			core.send(Message{Kind: kind, To: member.ID, Term: term, Index: core.log.last(), LogTerm: core.log.lastTerm()})
+			core.send(Message{Kind: kind, To: member.ID, Term: term, Index: core.log.last(), LogTerm: core.log.lastTerm(), Transfer: transfer})
 		}
 	}
 	core.tallyVotes(now)
@@ -297,7 +298,7 @@
 	switch {
 	case !won:
 	case core.role == RolePreCandidate:
-		core.campaign(now, RoleCandidate)
+		core.campaign(now, RoleCandidate, false)
 	case core.role == RoleCandidate:
 		core.becomeLeader(now)
 	}
@@ -477,8 +478,8 @@
 }
 
 // setLeaderCommit raises the leader's commit index and starts the deferred reads.
-// The leader steps down if it is no voter in a committed membership. Otherwise it sends
-// the new commit index with a heartbeat at the next Tick.
+// The leader transfers the leadership and steps down if it is no voter in a committed
+// membership. Otherwise it sends the new commit index with a heartbeat at the next Tick.
 func (core *Core) setLeaderCommit(now time.Time, index uint64) {
 	core.commit = index
 	if len(core.deferredReads) > 0 {
@@ -487,6 +488,7 @@
 		core.startReads(now, tokens...)
 	}
 	if !core.isVoter(core.id) && core.log.membersIndex <= core.commit {
+		core.transfer(now)
 		core.becomeFollower(now, core.hardState.Term, "")
 		return
 	}
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -240,6 +241,11 @@
 			}
 		case 11:
 			cluster.run(2500 * time.Millisecond)
+		case 15:
+			if !replica.down && !replica.frozen {
+				replica.core.HandOver(cluster.now, id, len(ids))
+				cluster.processReady(id)
+			}
 		default:
 			if !replica.down && !replica.frozen {
 				cluster.propose(id)
@@ -406,3 +412,38 @@
 		require.Equal(t, repeats, core.Role() == RolePreCandidate, id)
 	}
 }
+
+// TestLeaderTransfersLeadership guards against a group that is without a leader for an
+// election timeout after a planned stop of the leader, and against a voter without all
+// entries that is asked to lead.
+func TestLeaderTransfersLeadership(t *testing.T) {
+	slowest := time.Duration(0)
+	for seed := range uint64(50) {
+		cluster := newCluster(seed)
+		startGroup(cluster, []string{"a", "b", "c", "d", "e"})
+		cluster.run(5 * time.Second)
+		former := cluster.leader()
+		behind := cluster.ids()[(slices.Index(cluster.ids(), former)+1)%5]
+		cluster.replicas[behind].frozen = true
+		require.True(t, cluster.propose(former))
+		start := cluster.now
+		for cluster.leader() == former && cluster.now.Sub(start) < 5*time.Second {
+			cluster.replicas[former].core.HandOver(cluster.now, former, 5)
+			cluster.processReady(former)
+			cluster.run(20 * time.Millisecond)
+		}
+		cluster.crash(former)
+		for cluster.leader() == "" && cluster.now.Sub(start) < 5*time.Second {
+			cluster.run(10 * time.Millisecond)
+		}
+		slowest = max(slowest, cluster.now.Sub(start))
+		require.NotEmpty(t, cluster.leader(), cluster.describe())
+		require.NotEqual(t, behind, cluster.leader())
+		require.True(t, cluster.propose(cluster.leader()))
+		cluster.replicas[behind].frozen = false
+		cluster.run(2 * time.Second)
+		require.NoError(t, cluster.violation)
+	}
+	t.Logf("another replica led after %v at most", slowest)
+	require.Less(t, slowest, DefaultTiming().ElectionTimeout)
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -34,6 +34,8 @@
 		core.stepSnapshot(message)
 	case MessageAppendReply:
 		core.stepAppendReply(now, message)
+	case MessageTimeoutNow:
+		core.stepTimeoutNow(now, message)
 	}
 	return nil
 }
@@ -89,7 +91,7 @@
 	if message.Kind == MessageVote {
 		reply.Kind = MessageVoteReply
 	}
-	if core.hasLiveLeader(now) || message.Term < core.hardState.Term {
+	if core.hasLiveLeader(now) && !message.Transfer || message.Term < core.hardState.Term {
 		reply.Reject, reply.Term = true, core.hardState.Term
 		core.send(reply)
 		return
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -78,6 +78,9 @@
 	// MessageAppendReply is the reply to an append or a snapshot.
 	MessageAppendReply
 	MessageSnapshot
+	// MessageTimeoutNow asks a voter to start an election at once, because the leader is
+	// about to stop.
+	MessageTimeoutNow
 )
 
 // Message is a message between replicas. The network may drop, delay, duplicate
@@ -102,8 +105,11 @@
 	// the leader asks a quorum to confirm that it is still the leader. A reply
 	// repeats the round of the message that it answers, unless that message has
 	// an earlier term.
-	Round    uint64
-	Reject   bool
+	Round  uint64
+	Reject bool
+	// Transfer is set in a vote request whose sender was asked by the leader to start the
+	// election. It is granted although the leader is alive.
+	Transfer bool
 	Entries  []Entry
 	Snapshot *Snapshot
 }
--- a/internal/wire/raft.go
+++ b/internal/wire/raft.go
@@ -55,6 +55,7 @@
 	Commit   uint64    `json:"commit,omitempty"`
 	Round    uint64    `json:"round,omitempty"`
 	Reject   bool      `json:"reject,omitempty"`
+	Transfer bool      `json:"transfer,omitempty"`
 	Entries  []Entry   `json:"entries,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 	// Address is the network address at which the sender receives messages.
@@ -124,15 +125,16 @@
 // leaves Address empty.
 func FromRaftMessage(message raft.Message) RaftMessage {
 	encoded := RaftMessage{
-		Kind:    int(message.Kind),
-		From:    message.From,
-		To:      message.To,
-		Term:    message.Term,
-		Index:   message.Index,
-		LogTerm: message.LogTerm,
-		Commit:  message.Commit,
-		Round:   message.Round,
-		Reject:  message.Reject,
+		Kind:     int(message.Kind),
+		From:     message.From,
+		To:       message.To,
+		Term:     message.Term,
+		Index:    message.Index,
+		LogTerm:  message.LogTerm,
+		Commit:   message.Commit,
+		Round:    message.Round,
+		Reject:   message.Reject,
+		Transfer: message.Transfer,
 	}
 	for _, entry := range message.Entries {
 		encoded.Entries = append(encoded.Entries, FromEntry(entry))
@@ -148,15 +150,16 @@
 // Address.
 func (encoded RaftMessage) Domain() raft.Message {
 	message := raft.Message{
-		Kind:    raft.MessageKind(encoded.Kind),
-		From:    encoded.From,
-		To:      encoded.To,
-		Term:    encoded.Term,
-		Index:   encoded.Index,
-		LogTerm: encoded.LogTerm,
-		Commit:  encoded.Commit,
-		Round:   encoded.Round,
-		Reject:  encoded.Reject,
+		Kind:     raft.MessageKind(encoded.Kind),
+		From:     encoded.From,
+		To:       encoded.To,
+		Term:     encoded.Term,
+		Index:    encoded.Index,
+		LogTerm:  encoded.LogTerm,
+		Commit:   encoded.Commit,
+		Round:    encoded.Round,
+		Reject:   encoded.Reject,
+		Transfer: encoded.Transfer,
 	}
 	for _, entry := range encoded.Entries {
 		message.Entries = append(message.Entries, entry.Domain())
