ctrl, node, distr: a departure outlives a loss of power of all processes

Cause: an acknowledged departure was in the memory of processes only. Ruled out: the order of notices, a check of their time.

Change: the control VMs keep departures and drains in the replicated log for 30 s, without a change of the configuration, before they are acknowledged. Nodes get them with the version that a quorum confirms, and pass them on with the version that they state to others.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -338,8 +338,12 @@
 		timeoutCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		current, err := control.replica.LinearizableConfig(timeoutCtx)
 		cancel()
+		departures := control.replica.departures()
 		control.stats.Count("vp_join_confirms_total", len(ids))
 		control.tree.Do(func(core *distr.Core, _ time.Time) {
+			if err == nil {
+				core.SetDepartures(departures)
+			}
 			// If the read failed, current may be outdated or empty. Publish
 			// ignores older versions.
 			core.Publish(current)
@@ -466,6 +470,9 @@
 	if method == methodLease || method == methodTake {
 		return control.quotas.handleCall(ctx, method, params)
 	}
+	if method == wire.MethodDeparture {
+		return control.keepDeparture(ctx, params)
+	}
 	if method != methodStatus {
 		return control.replica.handleCall(ctx, method, params)
 	}
--- a/internal/distr/core.go
+++ b/internal/distr/core.go
@@ -79,6 +79,12 @@
 	replications    map[ReplicationID]*replication
 	lastReplication ReplicationID
 
+	// departures maps the names of nodes to the departures of their upstreams that the
+	// replicated log contained when this node, or the one that told it, joined. On a root
+	// they are complete only if departuresKnown is true.
+	departures      map[string]member.Departure
+	departuresKnown bool
+
 	// stale is true on a root that accepts no children because it has lost
 	// contact with the quorum of control VMs and may miss configurations.
 	stale bool
@@ -103,6 +109,8 @@
 		links:             map[LinkID]*link{},
 		observations:      map[observationKey]*Observation{},
 		replications:      map[ReplicationID]*replication{},
+		departures:        map[string]member.Departure{},
+		departuresKnown:   !settings.Root,
 		joinTokens:        float64(settings.JoinsPerSecond),
 		joinTokensUpdated: now,
 		nextDigest:        now.Add(time.Duration(random.Int64N(int64(settings.Timing.Compare)))),
@@ -190,6 +198,7 @@
 // least once per Timing.Coalesce.
 func (core *Core) Tick(now time.Time) {
 	core.enqueue(core.table.Tick(now), nil)
+	core.expireDepartures(now)
 	core.refusePending(now)
 	core.findParent(now)
 	core.maintainLaterals(now)
--- a/internal/distr/find.go
+++ b/internal/distr/find.go
@@ -236,6 +236,7 @@
 	if welcome.Former != nil && welcome.Former.Name == core.settings.Name {
 		core.addAction(Action{Former: welcome.Former})
 	}
+	core.receiveDepartures(welcome.Departures)
 	core.learnFloor(from, welcome)
 	if core.search.joinLink != from.id {
 		core.receiveLateralWelcome(from, welcome)
--- a/internal/distr/join.go
+++ b/internal/distr/join.go
@@ -172,9 +172,12 @@
 // connection is left without a role.
 func (core *Core) welcome(to *link, welcome Welcome) {
 	welcome.Name, welcome.Zone = core.settings.Name, core.settings.Zone
-	if !welcome.Confirmed && core.Ready() {
+	if !welcome.Confirmed && core.Ready() && core.departuresKnown {
 		welcome.Floor = core.config.Version()
 	}
+	if welcome.Confirmed || welcome.Floor > 0 {
+		welcome.Departures = core.knownDepartures()
+	}
 	if former, ok := core.table.Get(to.name); ok {
 		welcome.Former = &former
 	}
--- a/internal/distr/types.go
+++ b/internal/distr/types.go
@@ -108,6 +108,9 @@
 	// Former is the sender's record of the receiver. From it a restarted
 	// receiver recovers what it had announced before the restart.
 	Former *member.Record
+	// Departures are those of the upstreams of all nodes, as far as the sender knows them
+	// from the replicated log. They come with Floor.
+	Departures []member.Departure
 }
 
 // rootMarker is the path element that follows the name of a root. It marks a path
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,8 +56,9 @@
 	// PublishRecordSoon is PublishRecord in a later step of the daemon, so that many
 	// changes in a short time are sent together.
 	PublishRecordSoon()
-	// ReplicateRecord sends the present record of the gate to the other nodes and
-	// waits until enough of them have it or the context ends.
+	// ReplicateRecord sends the present record of the gate, which says that the upstream
+	// leaves, to the other nodes and waits until enough of them have it or the context
+	// ends. It also waits, for a shorter time, until the control VMs have it on disk.
 	ReplicateRecord(ctx context.Context) error
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,6 +136,7 @@
 	entry         *entry.Entry
 	resume        *resume
 	tokens        *tokenSource
+	departures    *departures
 
 	// config is the configuration in force. It is nil until the first
 	// configuration whose version is at or above the floor, the minimum version
@@ -208,6 +209,7 @@
 	})
 	node.resume = newResume(node)
 	node.tokens = &tokenSource{node: node}
+	node.departures = newDepartures(node, deps.Logs.Layer("daemon"), deps.Random())
 	node.entry = entry.New(entry.Deps{
 		Settings:    deps.Settings,
 		Logs:        deps.Logs,
@@ -261,14 +263,15 @@
 	defer cancel()
 	client := link.NewClient(background, node.options())
 	node.gate.Start(background, client)
-	node.resume.client, node.tokens.client = client, client
+	node.resume.client, node.tokens.client, node.departures.client = client, client, client
 	node.registerGauges()
-	group := tasks.New(12)
+	group := tasks.New(13)
 	callers := node.newServer("callers", callersShare, front.Deps{Pool: node.callPool, Handler: node.entry.Serve, Limits: node.limits, WriteError: node.entry.Reject})
 	gates := node.newServer("gate", gateShare, front.Deps{Pool: node.callPool, Handler: node.resume.Serve, Limits: node.gateLimits, WriteError: node.gate.Reject, DeferBody: true, IdleStatus: fasthttp.StatusServiceUnavailable})
 	group.Go(background, "tree", func(ctx context.Context) error { return node.tree.Run(ctx, opened.link) })
 	group.Go(background, "bookkeeping", node.runBookkeeping)
 	group.Go(background, "resume", node.resume.run)
+	group.Go(background, "departures", node.departures.run)
 	group.Go(background, "pacing", node.gate.RunPacing)
 	group.Go(background, "warm-up", node.gate.RunWarmUp)
 	group.Go(background, "guard", node.entry.RunGuard)
@@ -301,11 +304,6 @@
 // PublishRecordSoon implements gate.Host. The bookkeeping task publishes the record.
 func (node *Node) PublishRecordSoon() { node.recordChanged.Store(true) }
 
-// ReplicateRecord implements gate.Host.
-func (node *Node) ReplicateRecord(ctx context.Context) error {
-	return node.tree.Replicate(ctx, node.gate.Record)
-}
-
 // reportObservations sends observations on rollouts to the control VMs.
 func (node *Node) reportObservations(observations []distr.Observation) {
 	node.tree.Do(func(core *distr.Core, _ time.Time) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
 // Package store implements the replicated state machine. Its state consists of
-// the configuration, the results of recent requests and the history of accepted
-// changes. The package is deterministic: it reads no clock and does no I/O, so
+// the configuration, the results of recent requests, the history of accepted
+// changes, and the latest departures of upstreams. The package is deterministic: it reads no clock and does no I/O, so
 // replicas that apply the same entries hold the same state.
 package store
 
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -37,11 +38,13 @@
 	requestIDs []string
 	// history lists at most MaxHistory accepted changes, oldest first.
 	history []wire.HistoryEntry
+	// departures maps the names of nodes to the departures of their upstreams.
+	departures map[string]member.Departure
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{config: rsrc.EmptyConfig(), recorded: map[string]wire.Answered{}}
+	return &Store{config: rsrc.EmptyConfig(), recorded: map[string]wire.Answered{}, departures: map[string]member.Departure{}}
 }
 
 // Config returns the configuration after the last applied log entry.
@@ -82,6 +85,10 @@
 // execute applies a command if all expected revisions match and the resulting
 // configuration is valid.
 func (store *Store) execute(index uint64, command wire.Command) wire.Result {
+	if len(command.Departures) > 0 {
+		store.keepDepartures(command)
+		return wire.Result{Code: wire.CodeOK, Version: store.config.Version()}
+	}
 	for _, expect := range command.Expect {
 		if err := store.checkRevision(expect); err != nil {
 			return errorResult(err)
@@ -199,7 +206,7 @@
 
 // Snapshot returns the encoded state.
 func (store *Store) Snapshot() []byte {
-	state := wire.State{Config: wire.FromConfig(store.config), History: store.history}
+	state := wire.State{Config: wire.FromConfig(store.config), History: store.history, Departures: wire.FromDepartures(store.Departures())}
 	for _, id := range store.requestIDs {
 		state.Answered = append(state.Answered, store.recorded[id])
 	}
@@ -224,6 +231,10 @@
 	store.recorded = make(map[string]wire.Answered, len(state.Answered))
 	store.requestIDs = nil
 	store.history = state.History
+	store.departures = map[string]member.Departure{}
+	for _, departure := range wire.ToDepartures(state.Departures) {
+		store.departures[departure.Record.Name] = departure
+	}
 	for _, recorded := range state.Answered {
 		store.recordResult(recorded)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
 
@@ -91,3 +92,30 @@
 	_, found := restored.RecordedResult("0")
 	require.False(t, found, "the oldest results must be evicted first")
 }
+
+// TestDeparturesAreKept guards against a departure that is lost with a snapshot or gives way
+// to an earlier one, and against departures that are kept without end.
+func TestDeparturesAreKept(t *testing.T) {
+	at := time.Unix(1000, 0).UTC()
+	written := New()
+	index := uint64(0)
+	keep := func(name string, born int64, at time.Time) {
+		index++
+		record := wire.FromRecord(member.Record{Name: name, Upstream: member.Upstream{ID: "i-" + name, Born: born, Gone: true}})
+		result, err := written.Apply(index, wire.MustEncode(wire.Command{At: at, Departures: []wire.Record{record}}))
+		require.NoError(t, err)
+		require.Equal(t, wire.CodeOK, result.Code)
+	}
+	keep("a", 2, at)
+	keep("a", 1, at.Add(time.Second))
+	keep("b", 1, at.Add(time.Second))
+	require.Zero(t, written.Config().Version(), "a departure is no change of the configuration")
+	restored := New()
+	require.NoError(t, restored.Restore(written.Snapshot()))
+	kept := restored.Departures()
+	require.Len(t, kept, 2)
+	require.EqualValues(t, 2, kept[0].Record.Upstream.Born)
+	require.Equal(t, at, kept[0].At)
+	keep("c", 1, at.Add(2*member.DepartureRetention))
+	require.Len(t, written.Departures(), 1)
+}
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -216,6 +216,15 @@
 	Refused bool `json:"refused,omitempty"`
 }
 
+// MethodDeparture is the RPC method by which a node has a control VM keep the departure of
+// its upstream. The answer is empty. It means that a quorum has it on disk.
+const MethodDeparture = "departure"
+
+// DepartureRequest contains the record of a node whose upstream leaves.
+type DepartureRequest struct {
+	Record Record `json:"record"`
+}
+
 // ProposeAnswer is the response of the leader to a command that another replica
 // has forwarded.
 type ProposeAnswer struct {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -28,6 +28,8 @@
 	Expect             []Expect   `json:"expect,omitempty"`
 	Put                []Resource `json:"put,omitempty"`
 	Remove             []Key      `json:"remove,omitempty"`
+	// Departures is set in commands that do not change the configuration.
+	Departures []Record `json:"departures,omitempty"`
 }
 
 // Code classifies the result of a command or an error of the API.
@@ -84,6 +86,8 @@
 	Config   Config         `json:"config"`
 	Answered []Answered     `json:"answered"`
 	History  []HistoryEntry `json:"history,omitempty"`
+
+	Departures []Departure `json:"departures,omitempty"`
 }
 
 // Resources converts the resources that the command writes to domain types.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -56,6 +56,7 @@
 	Confirmed  bool          `json:"confirmed,omitempty"`
 	Path       []string      `json:"path,omitempty"`
 	Former     *Record       `json:"former,omitempty"`
+	Departures []Departure   `json:"departures,omitempty"`
 }
 
 // TreeAddress is the encoded form of the name and address of another node to
@@ -198,6 +199,30 @@
 	return domain
 }
 
+// Departure is the encoded form of a departure of an upstream. See member.Departure.
+type Departure struct {
+	Record Record    `json:"record"`
+	At     time.Time `json:"at"`
+}
+
+// FromDepartures returns the encoded form of departures.
+func FromDepartures(departures []member.Departure) []Departure {
+	var encoded []Departure
+	for _, departure := range departures {
+		encoded = append(encoded, Departure{Record: FromRecord(departure.Record), At: departure.At})
+	}
+	return encoded
+}
+
+// ToDepartures converts departures to the domain type.
+func ToDepartures(encoded []Departure) []member.Departure {
+	var departures []member.Departure
+	for _, departure := range encoded {
+		departures = append(departures, member.Departure{Record: departure.Record.Domain(), At: departure.At})
+	}
+	return departures
+}
+
 // FromTreeMessage returns the encoded form of a message between nodes. It
 // ignores message.Update; update is the encoded form of it, so that an update
 // for many receivers is encoded only once.
@@ -247,6 +272,7 @@
 	for _, address := range welcome.Redirect {
 		encoded.Redirect = append(encoded.Redirect, TreeAddress(address))
 	}
+	encoded.Departures = FromDepartures(welcome.Departures)
 	return encoded
 }
 
@@ -328,6 +354,7 @@
 	for _, address := range encoded.Redirect {
 		welcome.Redirect = append(welcome.Redirect, distr.Address(address))
 	}
+	welcome.Departures = ToDepartures(encoded.Departures)
 	return welcome
 }
 
