platform: times that no duration represents are read back as sent

Change: the edition keeps the numbers that a duration cannot represent; a read returns them while the resource has that duration.

--- a/internal/ctrl/fullconfig.go
+++ b/internal/ctrl/fullconfig.go
@@ -12,8 +12,9 @@
 )
 
 // FullConfig is a configuration that replaces all services, routes and accounts. Its
-// Number, its Limits and the order of its accounts are stored in the edition resource. The version of a configuration is
-// not its Number but the index of the log entry that changed it last.
+// Number, its Limits, its Numbers and the order of its accounts are stored in the edition
+// resource. The version of a configuration is not its Number but the index of the log entry
+// that changed it last.
 type FullConfig struct {
 	// Number is assigned by the operators and must be greater than the number of
 	// the current configuration.
@@ -29,6 +30,9 @@
 	// Accounts is nil if the operators sent no list of accounts.
 	Accounts []rsrc.Account
 	Limits   rsrc.Limits
+	// Numbers contains the numbers sent for times that no time.Duration represents
+	// exactly, by field, so that they are read back as they were sent.
+	Numbers map[string]float64
 }
 
 // requestID returns the request id, which is the same each time the operator
@@ -152,7 +156,7 @@
 
 // edition returns the edition resource of the configuration.
 func (fullConfig FullConfig) edition() rsrc.Edition {
-	edition := rsrc.NewEdition(fullConfig.Number, fullConfig.Limits)
+	edition := rsrc.NewEdition(fullConfig.Number, fullConfig.Limits).WithNumbers(fullConfig.Numbers)
 	if fullConfig.Accounts == nil {
 		return edition
 	}
--- a/internal/wire/account.go
+++ b/internal/wire/account.go
@@ -60,7 +60,7 @@
 		encoded.Spec = MustEncode(spec)
 	case rsrc.Edition:
 		spec := fromEdition(value)
-		spec.Accounts = value.Accounts()
+		spec.Accounts, spec.Numbers = value.Accounts(), value.Numbers()
 		encoded.Spec = MustEncode(spec)
 	}
 	return encoded
--- a/internal/wire/resource.go
+++ b/internal/wire/resource.go
@@ -80,8 +80,10 @@
 	MaxBody       int    `json:"maxBodyBytes,omitempty"`
 	HeaderTimeout string `json:"headerTimeout,omitempty"`
 	IdleTimeout   string `json:"idleTimeout,omitempty"`
-	// Accounts is set only in the store. It is nil if operators sent no list.
-	Accounts []string `json:"accounts,omitzero"`
+	// Accounts and Numbers are set only in the store. Accounts is nil if operators sent no
+	// list.
+	Accounts []string           `json:"accounts,omitzero"`
+	Numbers  map[string]float64 `json:"numbers,omitempty"`
 }
 
 // RolloutSpec is the spec of a resource of kind "rollout". The name of the
@@ -433,7 +435,7 @@
 		MaxBody:       spec.MaxBody,
 		HeaderTimeout: header,
 		IdleTimeout:   idle,
-	}).WithAccounts(spec.Accounts), err
+	}).WithAccounts(spec.Accounts).WithNumbers(spec.Numbers), err
 }
 
 // domain converts the spec. name is the name of the resource, which is the name
--- a/pkg/rsrc/edition.go
+++ b/pkg/rsrc/edition.go
@@ -26,6 +26,8 @@
 	limits Limits
 	// accounts is not modified after the edition was created.
 	accounts []string
+	// numbers is not modified after the edition was created.
+	numbers map[string]float64
 }
 
 // EditionName is the name of the only resource of kind KindEdition.
@@ -47,6 +49,18 @@
 // them, or nil if they sent no list of accounts. Nodes do not get the names.
 func (edition Edition) Accounts() []string { return edition.accounts }
 
+// WithNumbers returns a copy of the edition with numbers that operators sent for times, by
+// field, as far as no time.Duration represents them exactly.
+func (edition Edition) WithNumbers(numbers map[string]float64) Edition {
+	edition.numbers = numbers
+	return edition
+}
+
+// Numbers returns the numbers that operators sent for times, by field, as far as no
+// time.Duration represents them exactly. The caller must not modify the map. Nodes do not
+// get the numbers.
+func (edition Edition) Numbers() map[string]float64 { return edition.numbers }
+
 // EditionKey returns the key of the only resource of kind KindEdition.
 func EditionKey() Key { return NewKey(KindEdition, EditionName) }
 
