node: a departure is offered to the next control VM if one does not answer

Cause: with two of five control VMs without power, two requests in a row could hang for the time that an acknowledgement waits, so that the departure was in memory only. The next one is asked after 0.1 s now. TestDepartureOutlivesAllProcesses passes as before; the order with hanging VMs was not played.

--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// keepTimeout limits one attempt to have a control VM keep a departure.
-	keepTimeout = 300 * time.Millisecond
+	// keepTimeout limits one round of requests to the control VMs, and keepHedge is the time
+	// after which the next one is asked, too.
+	keepTimeout = 500 * time.Millisecond
+	keepHedge   = 100 * time.Millisecond
 	// keepRetry is the pause after a failed attempt.
 	keepRetry = 50 * time.Millisecond
 	// keepWait is how long an acknowledgement waits for the control VMs. Without them, the
@@ -91,18 +93,9 @@
 	}
 }
 
-// attempt asks one control VM to keep a departure, and reports whether it did.
+// attempt has one control VM keep a departure, and reports whether one did.
 func (departures *departures) attempt(ctx context.Context, pending *pendingDeparture) bool {
-	addresses := departures.node.controlAddresses(departures.node.tree.Records())
-	if len(addresses) == 0 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	address := addresses[departures.random.IntN(len(addresses))]
-	request := wire.DepartureRequest{Record: wire.FromRecord(pending.record)}
-	if err := departures.client.Call(ctx, address, wire.MethodDeparture, request, &struct{}{}); err != nil {
-		departures.log.V(1).Info("departure not kept yet", "asked", address, "error", err.Error())
+	if !departures.ask(ctx, wire.DepartureRequest{Record: wire.FromRecord(pending.record)}) {
 		return false
 	}
 	departures.lock.Lock()
@@ -117,6 +110,45 @@
 	return true
 }
 
+// ask asks the control VMs in a random order until one confirms. A VM without power does
+// not answer at all, so the next one is asked after keepHedge. That several write the same
+// departure to the log does no harm.
+func (departures *departures) ask(ctx context.Context, request wire.DepartureRequest) bool {
+	addresses := departures.node.controlAddresses(departures.node.tree.Records())
+	departures.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	answers := make(chan error, len(addresses))
+	asked, answered := 0, 0
+	for {
+		var next <-chan time.Time
+		if asked < len(addresses) {
+			address := addresses[asked]
+			submitted := departures.node.rpcPool.Submit(func() {
+				answers <- departures.client.Call(ctx, address, wire.MethodDeparture, request, &struct{}{})
+			})
+			if submitted != nil {
+				return false
+			}
+			asked++
+			next = time.After(keepHedge)
+		} else if answered == asked {
+			return false
+		}
+		select {
+		case err := <-answers:
+			if err == nil {
+				return true
+			}
+			answered++
+			departures.log.V(1).Info("departure not kept yet", "error", err.Error())
+		case <-next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // ReplicateRecord implements gate.Host. The departure must be known to other nodes, and is
 // kept by the control VMs if they answer in time.
 func (node *Node) ReplicateRecord(ctx context.Context) error {
