--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapulley/vanillapulley/internal/distr"
+	"github.com/vanillapulley/vanillapulley/internal/member"
 	"github.com/vanillapulley/vanillapulley/internal/raft"
 	"github.com/vanillapulley/vanillapulley/pkg/rsrc"
 )
@@ -94,3 +97,40 @@
 		}
 	})
 }
+
+// TestMessagesKeepEachField guards against a field of a message that does not reach the
+// other process: a vote request without Transfer is refused, and a welcome without
+// departures lets an upstream return that has left.
+func TestMessagesKeepEachField(t *testing.T) {
+	members := []raft.Member{{ID: "a-1", Name: "a", Address: "h:1", Voter: true}}
+	message := raft.Message{
+		Kind: raft.MessageVote, From: "a", To: "b", Term: 2, Index: 3, LogTerm: 4, Commit: 5, Round: 6, Reject: true, Transfer: true,
+		Entries:  []raft.Entry{{Index: 7, Term: 8, Kind: raft.EntryMembers, Data: []byte(`{}`), Members: members}},
+		Snapshot: &raft.Snapshot{Index: 9, Term: 10, Members: members, Data: []byte(`{}`)},
+	}
+	requireNoZeroField(t, message)
+	var encoded RaftMessage
+	require.NoError(t, json.Unmarshal(MustEncode(FromRaftMessage(message)), &encoded))
+	require.Equal(t, message, encoded.Domain())
+
+	record := member.Record{Name: "n", Incarnation: 1, Upstream: member.Upstream{ID: "i", Born: 2, Gone: true}}
+	welcome := distr.Welcome{
+		Name: "n", Zone: "z", Accepted: true, Redirect: []distr.Address{{Name: "m", Link: "h:2"}}, RetryAfter: time.Second,
+		Floor: 3, Confirmed: true, Path: []string{"p"}, Former: &record,
+		Departures: []member.Departure{{Record: record, At: time.Unix(1000, 5).UTC()}},
+	}
+	requireNoZeroField(t, welcome)
+	var tree TreeMessage
+	require.NoError(t, json.Unmarshal(MustEncode(FromTreeMessage(distr.Message{Welcome: &welcome}, Update{})), &tree))
+	decoded, err := tree.Domain()
+	require.NoError(t, err)
+	require.Equal(t, welcome, *decoded.Welcome)
+}
+
+// requireNoZeroField requires that a struct in a test of its encoding has all fields set.
+func requireNoZeroField(t *testing.T, value any) {
+	fields := reflect.ValueOf(value)
+	for i := range fields.NumField() {
+		require.False(t, fields.Field(i).IsZero(), fields.Type().Field(i).Name)
+	}
+}
