ctrl: checks of interrupted repairs

Two lost disks, and meanwhile: all processes killed, the leader restarted, a new replica that comes and goes, a disk lost again, homes that renew nothing, messages of up to 100 ms.

--- a/internal/ctrl/group_test.go
+++ b/internal/ctrl/group_test.go
@@ -27,6 +27,8 @@
 	groupStep = 10 * time.Millisecond
 	// groupRate is the limit of the account "a".
 	groupRate = 100.0
+	// maxGroupDelay is the longest time that a message takes, if not said otherwise.
+	maxGroupDelay = 5 * time.Millisecond
 )
 
 // group runs the replicas and homes of control VMs in virtual time. Its methods call the
@@ -39,6 +41,7 @@
 	vms    []*groupVM
 	// messages are in the order of their arrival times.
 	messages []groupMessage
+	maxDelay time.Duration
 	// written contains the names of the services whose creation was acknowledged.
 	written []string
 	// shares is the largest sum of the rates of the homes, in limits.
@@ -55,6 +58,8 @@
 	down    bool
 	frozen  bool
 	cut     bool
+	// deaf is true if the home sends no renewals.
+	deaf bool
 	// asked counts the requests to join.
 	asked int
 	// rate is the share of the account, if the lease has not expired.
@@ -80,13 +85,13 @@
 	if to.down || to.cut != vm.cut {
 		return
 	}
-	at := group.now.Add(time.Duration(group.random.Int64N(int64(5 * time.Millisecond))))
+	at := group.now.Add(time.Duration(group.random.Int64N(int64(group.maxDelay))))
 	group.messages = append(group.messages, groupMessage{at: at, address: address, message: params.(wire.RaftMessage)})
 }
 
 // newGroup starts the first voters and waits for a leader. The account "a" has a limit.
 func newGroup(t *testing.T, seed uint64, voters int) *group {
-	group := &group{t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir()}
+	group := &group{t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir(), maxDelay: maxGroupDelay}
 	for i := range voters {
 		group.vms = append(group.vms, &groupVM{group: group, address: fmt.Sprintf("vm%d", i+1)})
 	}
@@ -229,7 +234,7 @@
 	}
 	if vm.renewal != nil {
 		vm.finishRenewal()
-	} else if !now.Before(vm.renew) {
+	} else if !vm.deaf && !now.Before(vm.renew) {
 		vm.renewLease()
 	}
 }
--- a/internal/ctrl/repair_test.go
+++ b/internal/ctrl/repair_test.go
@@ -115,3 +115,63 @@
 		}
 	}
 }
+
+// disturbances are what may happen while the votes of two lost disks move to the new
+// replicas.
+var disturbances = []struct {
+	name string
+	play func(group *group, lost []*groupVM)
+}{
+	{"all processes are killed", func(group *group, _ []*groupVM) {
+		for _, vm := range group.vms {
+			vm.kill()
+		}
+		group.run(500 * time.Millisecond)
+		for _, vm := range group.vms {
+			vm.start(false)
+		}
+	}},
+	{"the leader restarts", func(group *group, _ []*groupVM) {
+		if leader := group.leader(); leader != nil {
+			leader.kill()
+			group.run(100 * time.Millisecond)
+			leader.start(false)
+		}
+	}},
+	{"a new replica comes and goes", func(group *group, lost []*groupVM) {
+		lost[0].kill()
+		group.run(200 * time.Millisecond)
+		lost[0].start(false)
+	}},
+	{"a VM loses its disk again", func(group *group, lost []*groupVM) {
+		group.loseDisks(200*time.Millisecond, lost[1])
+	}},
+	{"a home renews nothing", func(group *group, lost []*groupVM) {
+		for _, vm := range group.vms {
+			vm.deaf = !slices.Contains(lost, vm)
+		}
+	}},
+	{"messages take up to 100 ms", func(group *group, _ []*groupVM) { group.maxDelay = 100 * time.Millisecond }},
+}
+
+// TestInterruptedRepairEndsInTime guards against votes that stay with lost disks because
+// the repair of the group was interrupted.
+func TestInterruptedRepairEndsInTime(t *testing.T) {
+	for _, disturbance := range disturbances {
+		t.Run(disturbance.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				group := newGroup(t, seed, 5)
+				lost := []*groupVM{group.leader(), group.vms[(slices.Index(group.vms, group.leader())+1)%5]}
+				group.loseDisks(300*time.Millisecond, lost...)
+				group.run(time.Duration(group.random.IntN(100)) * 10 * time.Millisecond)
+				disturbance.play(group, lost)
+				require.LessOrEqual(t, group.untilVotesLive(10*time.Second), catchUp, "seed %d\n%s", seed, group.describe())
+				group.maxDelay = maxGroupDelay
+				others := slices.DeleteFunc(slices.Clone(group.vms), func(vm *groupVM) bool { return slices.Contains(lost, vm) })
+				group.loseDisks(100*time.Millisecond, others[:2]...)
+				group.requireWritten()
+				require.LessOrEqual(t, group.shares, 1+sharesTolerance, "seed %d", seed)
+			}
+		})
+	}
+}
