ctrl: a planned stop ends the requests to the API once the vote is handed over

What callers saw: a stop of a control VM took 5 s and cut off the clients that watch the configuration.

Cause: since the handover, the context of the API outlived the signal, so that requests in progress ended only at the limit of the stop.

Change: requests have a context of their own, which ends after the handover.

--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -37,7 +37,7 @@
 
 // handle routes one request of the API to its handler.
 func (control *Control) handle(request *fasthttp.RequestCtx) {
-	ctx, cancel := context.WithTimeout(control.ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(control.requests, requestTimeout)
 	defer cancel()
 	method, path := string(request.Method()), string(request.Path())
 	control.stats.Count("vp_api_requests_total", 1)
@@ -365,7 +365,7 @@
 		replyInvalid(request, &rsrc.ValidationError{Path: "from", Reason: "must be a version number"})
 		return
 	}
-	ctx, cancel := context.WithTimeout(control.ctx, watchTimeout)
+	ctx, cancel := context.WithTimeout(control.requests, watchTimeout)
 	defer cancel()
 	replica := control.replica
 	config, err := replica.waitFor(ctx, func() bool { return replica.store.Config().Version() > from })
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -80,8 +80,13 @@
 	logs    *logs.Factory
 	deps    Deps
 
-	// ctx, caller, replica, tree and rolloutManager are set by open.
-	ctx     context.Context
+	// ctx, requests, endRequests, caller, replica, tree and rolloutManager are set by open.
+	ctx context.Context
+	// requests is the context of requests to the API. A planned stop ends it once the
+	// vote has been handed over, before it waits for the requests in progress.
+	requests    context.Context
+	endRequests context.CancelFunc
+
 	caller  *link.Client
 	replica *replica
 	tree    *tree.Tree
@@ -213,6 +218,7 @@
 		}
 	}
 	control.ctx = running
+	control.requests, control.endRequests = context.WithCancel(running)
 	control.caller = link.NewClient(running, control.linkOptions())
 	replica, err := openWhenRoom(ctx, control.deps, control.caller, control.enqueueConfig)
 	if err != nil {
@@ -269,6 +275,7 @@
 	if failure == nil {
 		control.handOver(deadline)
 	}
+	control.endRequests()
 	failure = errors.Join(failure, stopAPI(deadline))
 	stop()
 	taskGroup.Wait()
--- a/internal/node/power_test.go
+++ b/internal/node/power_test.go
@@ -18,15 +18,15 @@
 )
 
 // runControl runs a control VM until the function is called.
-func runControl(t *testing.T, settings configs.Control) (stop func()) {
+func runControl(t *testing.T, settings configs.Control) (stop func() error) {
 	control, err := ctrl.New(ctrl.Deps{Settings: settings, Logs: logs.Discard(), Stats: stats.New(), Now: time.Now, Random: random})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- control.Run(ctx) }()
-	stop = func() {
+	stop = func() error {
 		cancel()
-		<-ended
+		return <-ended
 	}
 	// The API answers once the daemon is open.
 	require.Eventually(t, func() bool {
@@ -81,11 +81,11 @@
 			require.NoError(t, leave(node))
 			// The node is the last one, so that nobody is left to keep its record.
 			require.NoError(t, stopOther())
-			stopControl()
+			require.NoError(t, stopControl())
 			_ = stop()
 
 			stopControl = runControl(t, control)
-			defer stopControl()
+			defer func() { require.NoError(t, stopControl()) }()
 			node, _ = runWith(t, control, settings)
 			_ = node.gate.AcceptNotice(late)
 			require.False(t, isServing(node), "a late notice brought the upstream back")
