ctrl: the checks of answers to the API set the context of requests

Cause: these checks call the handler of a control VM that is not open. Since it reads the context of requests, which only open sets; the checks set the context of the components. A daemon starts its listeners after open, so that no caller could meet this.

Change: the checks set the context that the handler reads. What they require is unchanged.

--- a/internal/ctrl/accounts_test.go
+++ b/internal/ctrl/accounts_test.go
@@ -32,7 +32,7 @@
 	for _, path := range []string{"/v1/resources", "/v1/resources/account/b", "/v1/watch?from=0", "/v1/history"} {
 		request := &fasthttp.RequestCtx{}
 		request.Request.SetRequestURI(path)
-		fixture.control.ctx = t.Context()
+		fixture.control.requests = t.Context()
 		fixture.control.handle(request)
 		require.Equal(t, fasthttp.StatusOK, request.Response.StatusCode(), path)
 		require.True(t, bytes.Contains(request.Response.Body(), []byte(`"name":"b"`)), path)
@@ -55,7 +55,7 @@
 // read of an account is written back.
 func TestAnAccountWithDigestsIsNotWritten(t *testing.T) {
 	fixture := newOrderFixture(t)
-	fixture.control.ctx = t.Context()
+	fixture.control.requests = t.Context()
 	digests := wire.FromResource(rsrc.NewAccount("a", []string{"k"}, rsrc.AccountOptions{}))
 	keys := wire.FromResourceWithKeys(rsrc.NewAccount("a", []string{"k"}, rsrc.AccountOptions{}))
 	for _, c := range []struct {
