ctrl: a change refused with 408 is not reported as invalid

The change had not been executed, and no other control VM was tried.

Cause: the next request on an open connection to a control VM that stops, and one that was not read in time, are refused with 408 and the code "invalid", which ends the tries of a client.

Ruled out: a change that breaks a rule (the reason is the text of the status).

Change: the code of a refusal with 408 is "unavailable", as with 503. The status is unchanged.

Evidence: TestStopRefusesTheNextRequestAsNotExecuted failed before ("invalid") and passes 5 of 5 under the race detector.

--- a/internal/ctrl/listen.go
+++ b/internal/ctrl/listen.go
@@ -82,10 +82,11 @@
 }
 
 // rejectRequest answers a request that was refused before it was handled. It has not
-// been executed.
+// been executed, and may be repeated unless the request itself is at fault.
 func rejectRequest(request *fasthttp.RequestCtx, status int) {
 	code := wire.CodeInvalid
-	if status == fasthttp.StatusServiceUnavailable {
+	// 408 answers a request that was not read in time, or that came during a shutdown.
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusRequestTimeout {
 		code = wire.CodeUnavailable
 	}
 	replyError(request, status, wire.APIError{Code: code, Reason: fasthttp.StatusMessage(status)})
