soak: each try of the initial configuration repeats the same request

Cause: the driver's first change got a new request ID with each try. If a result was not received, though the change was accepted, all further tries conflicted with it.

Ruled out: a fault of the product, which keeps the result by request ID.

Change: one ID for all tries. What the soak requires is unchanged.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -37,6 +37,9 @@
 	// shows which change was applied last.
 	changeNumber int
 
+	// beginID is the request ID of the initial configuration.
+	beginID string
+
 	// lock guards the fields below.
 	lock sync.Mutex
 	// acceptedNumber is the number of the last change known to be accepted;
@@ -46,7 +49,7 @@
 }
 
 func newOperator(fleet *fleet, history *history, seed uint64) *operator {
-	return &operator{fleet: fleet, history: history, random: rand.New(rand.NewPCG(seed, 4))}
+	return &operator{fleet: fleet, history: history, random: rand.New(rand.NewPCG(seed, 4)), beginID: uuid.NewString()}
 }
 
 // resource returns a resource in the form that operators submit.
@@ -54,7 +57,8 @@
 	return wire.Resource{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
 }
 
-// begin applies the initial configuration.
+// begin applies the initial configuration. Every call repeats the same request: a change
+// whose result was not received would otherwise conflict with itself.
 func (operator *operator) begin(ctx context.Context) error {
 	body := wire.ApplyRequest{Resources: []wire.Resource{
 		resource("service", service, `{}`),
@@ -63,22 +67,18 @@
 		resource("route", "mark", `{"service":"`+service+`","prefix":"/mark","version":"v1","timeout":"1ms"}`),
 	}}
 	operator.changeNumber = 1
-	return operator.apply(ctx, body)
+	return operator.apply(ctx, operator.beginID, body)
 }
 
 // apply submits a change with one request ID for all tries, which makes it
 // idempotent. The control VMs are tried in random order.
-func (operator *operator) apply(ctx context.Context, body wire.ApplyRequest) error {
+func (operator *operator) apply(ctx context.Context, id string, body wire.ApplyRequest) error {
 	apis := append([]string{}, operator.fleet.apis...)
 	operator.random.Shuffle(len(apis), func(i, j int) { apis[i], apis[j] = apis[j], apis[i] })
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	var result wire.Result
-	id, err := uuid.NewRandom()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if err := client.New(apis).Post(ctx, "/v1/apply", client.Request{ID: id.String()}, body, &result); err != nil {
+	if err := client.New(apis).Post(ctx, "/v1/apply", client.Request{ID: id}, body, &result); err != nil {
 		return err
 	}
 	operator.lock.Lock()
@@ -96,7 +96,7 @@
 			operator.changeNumber = max(operator.changeNumber, current.changeNumber) + 1
 			changed := resource("route", "mark", fmt.Sprintf(`{"service":"%s","prefix":"/mark","version":"v1","timeout":"%dms"}`, service, operator.changeNumber))
 			changed.Revision = current.revision
-			err = operator.apply(ctx, wire.ApplyRequest{Resources: []wire.Resource{changed}})
+			err = operator.apply(ctx, uuid.NewString(), wire.ApplyRequest{Resources: []wire.Resource{changed}})
 			var refusal *client.RefusalError
 			if errors.As(err, &refusal) && refusal.Code == client.CodeInvalid {
 				operator.history.addViolation("a valid change was rejected: %v", err)
--- a/internal/soak/stop.go
+++ b/internal/soak/stop.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/vanillapulley/vanillapulley/internal/proxy"
 	"github.com/vanillapulley/vanillapulley/internal/wire"
 )
@@ -91,7 +93,7 @@
 		return nil, err
 	}
 	route := resource("route", "work", `{"service":"`+service+`","prefix":"/soak/busy","version":"v1","timeout":"`+(2*longestWork).String()+`"}`)
-	if err := run.operator.apply(ctx, wire.ApplyRequest{Resources: []wire.Resource{route}}); err != nil {
+	if err := run.operator.apply(ctx, uuid.NewString(), wire.ApplyRequest{Resources: []wire.Resource{route}}); err != nil {
 		return nil, err
 	}
 	run.waitConverged(time.Now().Add(startTimeout))
