--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -68,12 +68,12 @@
 }
 
 // Repair makes at most one membership change that brings a caught-up learner closer to
-// becoming a voter, unless the learner is about to stop. If a voter has the learner's name or address, it is the former
-// replica of the learner's VM, whose disk was lost, and Repair demotes it. Otherwise, if
-// the group has fewer than maxVoters voters, Repair promotes the learner; if not, it
-// demotes a voter that has not replied for longer than the absence timeout. Repair does
-// nothing on a replica that is not the leader or while another membership change is
-// uncommitted. It reports whether it made a change.
+// becoming a voter, unless the learner is about to stop. If a voter has the learner's
+// name or address, it is the former replica of the learner's VM, whose disk was lost, and
+// Repair demotes it. Otherwise, if the group has fewer than maxVoters voters, Repair
+// promotes the learner; if not, it demotes a voter that has not replied for longer than
+// the absence timeout. Repair does nothing on a replica that is not the leader or while
+// another membership change is uncommitted. It reports whether it made a change.
 func (core *Core) Repair(now time.Time, maxVoters int) bool {
 	if !core.canChangeMembers() {
 		return false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,7 +1,8 @@
 // Package store implements the replicated state machine. Its state consists of
 // the configuration, the results of recent requests, the history of accepted
-// changes, and the latest departures of upstreams. The package is deterministic: it reads no clock and does no I/O, so
-// replicas that apply the same entries hold the same state.
+// changes, and the latest departures of upstreams. The package is deterministic:
+// it reads no clock and does no I/O, so replicas that apply the same entries hold
+// the same state.
 package store
 
 import (
