proxy: a response that overtakes the end of the write keeps the connection

Cause: a body is written by a goroutine of its own. If the response was read after the last byte was written, but before that goroutine had returned, the write counted as unfinished and the connection was closed. Callers had their answer; the next call opened a connection.

Ruled out: the goroutine towards the target (with its return delayed instead, the test passes).

Change: the write gets a deadline in the past before its end is awaited. A write that goes on fails, and the connection is closed as before.

--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -52,10 +52,9 @@
 	return errors.Join(err, conn.writer.Flush())
 }
 
-// finishWrite reports whether the response was read and the whole request, or all but a
-// body that the peer did not ask for, was written without an error. If reading the response
-// failed or the write is still in progress, it closes the connection, which ends the write,
-// waits for the end of the write and returns false.
+// finishWrite ends the write of the request after the response, and reports whether the
+// response was read and the whole request, or all but a body that the peer did not ask for,
+// was written without an error. Otherwise it closes the connection.
 func (conn *conn) finishWrite(readErr error) bool {
 	if held := conn.held; held != nil && !held.decided {
 		held.refuse()
@@ -64,12 +63,8 @@
 			return errors.Is(conn.write.err, errBodyNotWanted)
 		}
 	}
-	if readErr == nil {
-		select {
-		case <-conn.write.ended:
-			return conn.write.err == nil
-		default:
-		}
+	if readErr == nil && conn.endWrite() {
+		return true
 	}
 	_ = conn.Close()
 	if conn.held != nil {
@@ -79,6 +74,25 @@
 	return false
 }
 
+// endWrite ends the write of the request and reports whether it is complete. The peer may
+// have the whole request although the goroutine that writes it has not returned yet: with
+// a deadline in the past, only a write that goes on fails.
+func (conn *conn) endWrite() bool {
+	select {
+	case <-conn.write.ended:
+		return conn.write.err == nil
+	default:
+	}
+	if conn.held != nil {
+		conn.held.refuse()
+	}
+	if conn.SetWriteDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	<-conn.write.ended
+	return conn.write.err == nil
+}
+
 // confirmEnd ends the write of the request, after the end of the connection was read where a
 // body without a length may end. It returns an error if the write has met one: the kernel
 // reports a reset to one call only, and if the write gets it, the read finds an ordinary end.
