--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,6 +17,7 @@
 // cases are the scripted cases, by their names. A case returns whether the rule was broken.
 var cases = map[string]func(fleet *fleet, trouble bool) (broken bool, err error){
 	"upload-drain": uploadDrain,
+	"accept-hang":  acceptHang,
 }
 
 func main() {
--- a/review/rig3/target.go
+++ b/review/rig3/target.go
@@ -39,6 +39,7 @@
 	sequence uint64
 	state    string
 	leaving  bool
+	silent   bool
 	// runs are the times at which requests arrived and began to run, by their ids.
 	runs map[string][]time.Time
 }
@@ -108,9 +109,13 @@
 	}
 	target.lock.Lock()
 	target.runs[id] = append(target.runs[id], time.Now())
-	leaving := target.leaving
+	leaving, silent := target.leaving, target.silent
 	target.lock.Unlock()
 	target.record.add("%s runs %s %s %s, deadline %s ms", target.id, id, request.Method, request.RequestURI, request.Header.Get(headerDeadline))
+	if silent {
+		<-target.ended
+		return ""
+	}
 	time.Sleep(target.work)
 	extra := ""
 	if leaving {
@@ -121,6 +126,13 @@
 		echo, extra, headerSigned, id, headerLoad, slots, len(body), body)
 }
 
+// silence makes the target answer nothing from now on.
+func (target *target) silence() {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	target.silent = true
+}
+
 // runsOf returns when a request ran.
 func (target *target) runsOf(id string) []time.Time {
 	target.lock.Lock()
